--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,7 @@
 
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
-	ar rcs $@ $^
+	ar rcsP $@ $^
 
 $(BIN): $(BUILD)/src/main.o $(LIB)
 	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS) -lm
--- /dev/null
+++ b/src/common/process.c
@@ -0,0 +1,106 @@
+#include "common/process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "common/metrics.h"
+
+static void
+on_signal(evutil_socket_t sig, short what, void *arg)
+{
+	struct process *p = arg;
+
+	if (sig == SIGHUP)
+		p->opts.reload(p->opts.ctx);
+	else
+		p->opts.stop(p->opts.ctx);
+}
+
+/* A reader that stalls must cost log lines, not requests. */
+static void
+unblock_stdout(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags != -1)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+int
+process_open(struct process *p, const struct process_options *opts)
+{
+	static const int signals[PROCESS_SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
+	struct logger_options log = {
+		.process = opts->name,
+		.level = LOG_LEVEL_INFO,
+		.fd = STDOUT_FILENO,
+	};
+
+	memset(p, 0, sizeof(*p));
+	p->opts = *opts;
+	(void)signal(SIGPIPE, SIG_IGN);
+	unblock_stdout();
+	p->base = event_base_new();
+	p->clock = clock_create_real();
+	p->metrics = metrics_create();
+	log.clock = p->clock;
+	p->logger = p->clock == NULL ? NULL : logger_create(&log);
+	if (p->base == NULL || p->metrics == NULL || p->logger == NULL) {
+		process_close(p);
+		return -1;
+	}
+	(void)logger_set_levels(p->logger, opts->log_levels);
+	for (int i = 0; i < PROCESS_SIGNALS; i++) {
+		p->signals[i] = evsignal_new(p->base, signals[i], on_signal, p);
+		if (p->signals[i] == NULL) {
+			process_close(p);
+			return -1;
+		}
+		evsignal_add(p->signals[i], NULL);
+	}
+	return 0;
+}
+
+void
+process_close(struct process *p)
+{
+	for (int i = 0; i < PROCESS_SIGNALS; i++) {
+		if (p->signals[i] != NULL)
+			event_free(p->signals[i]);
+	}
+	if (p->logger != NULL)
+		logger_destroy(p->logger);
+	if (p->metrics != NULL)
+		metrics_destroy(p->metrics);
+	if (p->base != NULL)
+		event_base_free(p->base);
+	if (p->clock != NULL)
+		clock_destroy(p->clock);
+	memset(p, 0, sizeof(*p));
+}
+
+struct event *
+process_timer(struct process *p, void (*fire)(int, short, void *), void *ctx)
+{
+	struct event *timer = evtimer_new(p->base, fire, ctx);
+
+	if (timer == NULL)
+		abort();
+	return timer;
+}
+
+void
+process_timer_add(struct event *timer, int64_t delay_us)
+{
+	struct timeval tv = { delay_us / USEC_PER_SEC,
+		delay_us % USEC_PER_SEC };
+
+	evtimer_add(timer, &tv);
+}
--- /dev/null
+++ b/src/coordination/outlier.c
@@ -0,0 +1,51 @@
+#include "coordination/outlier.h"
+
+#include "common/clock.h"
+
+#define FAILURE_WEIGHT 0.2 /* of the newest request in the share */
+#define FAILURE_SHARE_MAX 0.5
+#define UNREACHABLE_MAX 1 /* in a row; a connection costs its time-out */
+#define FAILED_MAX 3 /* in a row */
+#define EJECT_FIRST_US (1 * USEC_PER_SEC)
+#define EJECT_DOUBLINGS_MAX 2 /* tried again after 4 s at the latest */
+
+static void
+eject(struct outlier *o, int64_t now_us)
+{
+	unsigned doublings = o->ejections < EJECT_DOUBLINGS_MAX
+				 ? o->ejections
+				 : EJECT_DOUBLINGS_MAX;
+
+	o->ejected_until_us = now_us + (EJECT_FIRST_US << doublings);
+	o->ejections++;
+	o->in_a_row = 0;
+	/* One more failure after the pause ejects it again. */
+	o->failures = FAILURE_SHARE_MAX - FAILURE_WEIGHT / 2;
+}
+
+void
+outlier_note(struct outlier *o, enum outlier_kind kind, int64_t now_us)
+{
+	double failed = kind == OUTLIER_OK ? 0 : 1;
+
+	o->failures += FAILURE_WEIGHT * (failed - o->failures);
+	if (kind == OUTLIER_OK) {
+		o->in_a_row = 0;
+		if (o->failures < FAILURE_WEIGHT)
+			o->ejections = 0;
+		return;
+	}
+	if (kind != OUTLIER_ERROR)
+		o->in_a_row++;
+	if (outlier_ejected(o, now_us))
+		return;
+	if (o->failures >= FAILURE_SHARE_MAX || o->in_a_row >= FAILED_MAX ||
+	    (kind == OUTLIER_UNREACHABLE && o->in_a_row >= UNREACHABLE_MAX))
+		eject(o, now_us);
+}
+
+bool
+outlier_ejected(const struct outlier *o, int64_t now_us)
+{
+	return now_us < o->ejected_until_us;
+}
--- /dev/null
+++ b/src/coordination/selection.c
@@ -0,0 +1,104 @@
+#include "coordination/selection.h"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+/* Default until a model's pace is measured: tokens read in a millisecond. */
+#define PREFILL_TOKENS_PER_MS 38
+#define FIRST_TOKEN_US 8000 /* a step of the batch and the way there */
+#define STEP_SHARE_US 150 /* what each running request adds to a step */
+/* Traffic between data centres costs money and a round trip. */
+#define OTHER_ZONE_US 20000
+/* A full replica queues: about the time until a place falls free. */
+#define FULL_US 400000
+/* Memory that runs out preempts a request, which is read again. */
+#define NO_MEMORY_US 800000
+/* Orders replicas that predict the same, alike at all gateways. */
+#define TIE_US 4000
+/* Evicting what was used within this time is likely to cost a load. */
+#define VICTIM_WARM_US 10000000
+#define VICTIM_PENALTY_US 600000
+
+int64_t
+select_prefill_us(uint32_t tokens)
+{
+	return (int64_t)tokens * 1000 / PREFILL_TOKENS_PER_MS;
+}
+
+static int64_t
+tie_us(const struct select_query *q, const struct select_replica *r)
+{
+	uint64_t seed = XXH3_64bits(q->model, strlen(q->model));
+
+	return (
+	    int64_t)(XXH3_64bits_withSeed(r->id, strlen(r->id), seed) % TIE_US);
+}
+
+static int64_t
+first_us(const struct select_query *q, const struct select_replica *r)
+{
+	uint32_t tokens = q->prompt_tokens > r->cached_tokens
+			      ? q->prompt_tokens - r->cached_tokens
+			      : 0;
+	double ahead = (double)r->pending_tokens + tokens;
+	double work = ahead * 1000 / PREFILL_TOKENS_PER_MS + FIRST_TOKEN_US +
+		      (double)r->running * STEP_SHARE_US;
+	int64_t us = r->load_us + (int64_t)(work * q->pace * r->slowness);
+
+	if (r->slots > 0 && r->running >= r->slots)
+		us += FULL_US * (1 + (r->running - r->slots) / r->slots);
+	if (r->kv_free >= 0 &&
+	    (int64_t)q->prompt_tokens + q->answer_tokens > r->kv_free)
+		us += NO_MEMORY_US;
+	return us;
+}
+
+/* What the choice costs others, in time. */
+static int64_t
+side_cost_us(const struct select_query *q, const struct select_replica *r)
+{
+	int64_t us = tie_us(q, r);
+
+	if (!r->same_zone)
+		us += OTHER_ZONE_US;
+	if (r->load_us > 0 && r->victim_idle_us < VICTIM_WARM_US)
+		us += VICTIM_PENALTY_US -
+		      VICTIM_PENALTY_US * r->victim_idle_us / VICTIM_WARM_US;
+	return us;
+}
+
+static struct select_choice
+choose(const struct select_query *q, const struct select_replica *replicas,
+    size_t count, bool ejected)
+{
+	struct select_choice best = { .index = -1 };
+	int64_t best_cost = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct select_replica *r = &replicas[i];
+		int64_t us, cost;
+
+		if (!r->usable || r->ejected != ejected ||
+		    r->load_us == SELECT_LOAD_NEVER)
+			continue;
+		us = first_us(q, r);
+		cost = us + side_cost_us(q, r);
+		if (best.index != -1 && cost >= best_cost)
+			continue;
+		best.index = (int)i;
+		best.first_us = us;
+		best.load_us = r->load_us;
+		best_cost = cost;
+	}
+	return best;
+}
+
+struct select_choice
+select_replica(const struct select_query *q,
+    const struct select_replica *replicas, size_t count)
+{
+	struct select_choice best = choose(q, replicas, count, false);
+
+	return best.index != -1 ? best : choose(q, replicas, count, true);
+}
--- /dev/null
+++ b/src/coordination/swap.c
@@ -0,0 +1,184 @@
+#include "coordination/swap.h"
+
+#include <string.h>
+
+static const struct swap_model *
+held(const struct swap_input *in, const char *name)
+{
+	for (size_t i = 0; i < in->model_count; i++) {
+		if (strcmp(in->models[i].name, name) == 0)
+			return &in->models[i];
+	}
+	return NULL;
+}
+
+static bool
+has_adapter(const struct swap_model *m, const char *name)
+{
+	for (size_t i = 0; i < m->adapter_count; i++) {
+		if (strcmp(m->adapters[i].name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+model_wanted(const struct swap_input *in, const char *name)
+{
+	for (size_t i = 0; i < in->want_count; i++) {
+		if (strcmp(in->wants[i].model, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+adapter_wanted(
+    const struct swap_input *in, const char *model, const char *adapter)
+{
+	for (size_t i = 0; i < in->want_count; i++) {
+		if (strcmp(in->wants[i].model, model) == 0 &&
+		    strcmp(in->wants[i].adapter, adapter) == 0)
+			return true;
+	}
+	return false;
+}
+
+double
+swap_used_mb(const struct swap_input *in)
+{
+	double used = 0;
+
+	for (size_t i = 0; i < in->model_count; i++)
+		used += in->models[i].size_mb +
+			(double)in->models[i].adapter_count *
+			    in->models[i].adapter_mb;
+	return used;
+}
+
+const struct swap_model *
+swap_victim(const struct swap_input *in)
+{
+	const struct swap_model *victim = NULL;
+
+	for (size_t i = 0; i < in->model_count; i++) {
+		const struct swap_model *m = &in->models[i];
+
+		if (m->in_flight > 0 || model_wanted(in, m->name) ||
+		    in->now_us - m->last_use_us < in->min_keep_us)
+			continue;
+		if (victim == NULL || m->last_use_us < victim->last_use_us)
+			victim = m;
+	}
+	return victim;
+}
+
+static struct swap_step
+step(enum swap_op op, const char *model, const char *adapter)
+{
+	struct swap_step s = { op, model, adapter };
+
+	return s;
+}
+
+static struct swap_step
+evict_model(const struct swap_input *in)
+{
+	const struct swap_model *victim = swap_victim(in);
+
+	return victim == NULL ? step(SWAP_NONE, NULL, NULL)
+			      : step(SWAP_UNLOAD, victim->name, NULL);
+}
+
+static struct swap_step
+evict_adapter(const struct swap_input *in)
+{
+	const struct swap_adapter *victim = NULL;
+	const char *model = NULL;
+
+	for (size_t i = 0; i < in->model_count; i++) {
+		const struct swap_model *m = &in->models[i];
+
+		for (size_t j = 0; j < m->adapter_count; j++) {
+			const struct swap_adapter *a = &m->adapters[j];
+
+			if (a->in_flight > 0 ||
+			    adapter_wanted(in, m->name, a->name))
+				continue;
+			if (victim != NULL &&
+			    a->last_use_us >= victim->last_use_us)
+				continue;
+			victim = a;
+			model = m->name;
+		}
+	}
+	return victim == NULL ? step(SWAP_NONE, NULL, NULL)
+			      : step(SWAP_UNLOAD, model, victim->name);
+}
+
+static size_t
+adapter_count(const struct swap_input *in)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < in->model_count; i++)
+		count += in->models[i].adapter_count;
+	return count;
+}
+
+static struct swap_step
+next_adapter(const struct swap_input *in, const struct swap_want *w)
+{
+	if (adapter_count(in) >= in->adapter_places)
+		return evict_adapter(in);
+	if (swap_used_mb(in) + w->adapter_mb > in->memory_mb)
+		return evict_adapter(in);
+	return step(SWAP_LOAD, w->model, w->adapter);
+}
+
+static struct swap_step
+next_for(const struct swap_input *in, const struct swap_want *w)
+{
+	const struct swap_model *m = held(in, w->model);
+
+	if (m != NULL) {
+		if (w->adapter[0] == '\0' || has_adapter(m, w->adapter))
+			return step(SWAP_NONE, NULL, NULL);
+		return next_adapter(in, w);
+	}
+	if (!w->may_load)
+		return step(SWAP_NONE, NULL, NULL);
+	if (swap_used_mb(in) + w->size_mb > in->memory_mb)
+		return evict_model(in);
+	return step(SWAP_LOAD, w->model, NULL);
+}
+
+static bool
+comes_before(const struct swap_want *a, const struct swap_want *b)
+{
+	if (a->rank != b->rank)
+		return a->rank < b->rank;
+	return a->since_us < b->since_us;
+}
+
+/* The most urgent want that something can be done for. */
+struct swap_step
+swap_next(const struct swap_input *in)
+{
+	struct swap_step best = { SWAP_NONE, NULL, NULL };
+	const struct swap_want *first = NULL;
+
+	for (size_t i = 0; i < in->want_count; i++) {
+		const struct swap_want *w = &in->wants[i];
+		struct swap_step s;
+
+		if (first != NULL && !comes_before(w, first))
+			continue;
+		s = next_for(in, w);
+		if (s.op == SWAP_NONE)
+			continue;
+		best = s;
+		first = w;
+	}
+	return best;
+}
--- /dev/null
+++ b/src/gateway/backends.h
@@ -0,0 +1,88 @@
+/*
+ * backends -- the replicas that the gateway knows, and what it knows of each.
+ *
+ * Entries come from the platform's store; what a replica holds comes fresher
+ * from the sidecar beside it.  A replica that left takes no more work and is
+ * forgotten once the last request on it has ended.
+ */
+#ifndef GATEWAY_BACKENDS_H
+#define GATEWAY_BACKENDS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <bsd/sys/queue.h>
+
+#include "coordination/outlier.h"
+#include "protocol/fleet.h"
+
+struct backends;
+struct engine_spec;
+struct gateway;
+struct http_client;
+struct rpc_conn;
+
+/* Requests of this gateway for one model and adapter on one replica. */
+struct backend_use {
+	char model[FLEET_NAME_MAX];
+	char adapter[FLEET_NAME_MAX];
+	unsigned started; /* since the sidecar was told */
+	unsigned in_flight;
+	bool told; /* the sidecar knows these figures */
+	SLIST_ENTRY(backend_use) link;
+};
+
+struct backend {
+	struct replica_entry entry; /* state: the newest known */
+	struct http_client *http;
+	bool listed;
+	int64_t lapse_at_us; /* deleted around an outage; 0: not */
+	unsigned in_flight;
+	uint64_t pending_tokens; /* of prompts sent and not yet read */
+	struct outlier outlier;
+	double slowness; /* measured over predicted; moving average */
+	/* By the sidecar: */
+	bool has_report;
+	int64_t report_us;
+	unsigned reported; /* running and queued at the report */
+	unsigned sent_since; /* by this gateway */
+	int64_t kv_used;
+	char loading[FLEET_NAME_MAX];
+	int64_t loading_until_us;
+	double free_mb;
+	int64_t victim_idle_us;
+	/* The connection to the sidecar: */
+	struct rpc_conn *conn;
+	bool connecting;
+	int64_t reconnect_us;
+	uint64_t peer_version; /* deployment that the sidecar has */
+	SLIST_HEAD(, backend_use) uses;
+	TAILQ_ENTRY(backend) link;
+};
+
+struct backends *backends_create(struct gateway *);
+void backends_destroy(struct backends *);
+
+/* Callbacks of the feed. */
+void backends_record(void *ctx, const struct fleet_record *);
+void backends_snapshot_begin(void *ctx);
+void backends_snapshot_end(void *ctx);
+
+/* Ends what lapsed, and frees what nobody uses. */
+void backends_tick(struct backends *);
+
+/* Iterates; NULL starts. */
+struct backend *backends_next(struct backends *, struct backend *);
+unsigned backends_count(const struct backends *);
+
+/* Whether new work may go there. */
+bool backend_takes_work(const struct backend *);
+
+/* Time until the model, and the adapter if any, can run there. */
+int64_t backend_load_us(const struct backend *, const struct engine_spec *,
+    const char *model, const char *adapter, int64_t now_us);
+
+struct backend_use *backend_use(
+    struct backend *, const char *model, const char *adapter);
+
+#endif
--- /dev/null
+++ b/src/gateway/exchange.c
@@ -0,0 +1,523 @@
+#include "gateway/exchange.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <xxhash.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "coordination/pace.h"
+#include "coordination/prefix_map.h"
+#include "coordination/retry_budget.h"
+#include "coordination/selection.h"
+#include "gateway/backends.h"
+#include "gateway/exchange_internal.h"
+#include "gateway/sidecar_links.h"
+#include "protocol/caller.h"
+#include "protocol/problem.h"
+#include "state/deployment.h"
+#include "transport/http_server.h"
+
+#define MAX_BACKLOG (4 * 1024 * 1024) /* bytes a slow caller may leave unread  \
+				       */
+#define CANDIDATES_MAX 4096
+#define UNREACHABLE_MAX 4 /* connections that may fail for one request */
+#define WANT_AGAIN_US (500 * USEC_PER_MSEC)
+/* Callers return after at most a third of the time they have left. */
+#define RETRY_AFTER_SHARE 0.33
+#define RETRY_AFTER_MIN_US (100 * USEC_PER_MSEC)
+#define DEFAULT_DEADLINE_US (60 * USEC_PER_SEC)
+/* Kept for the way of the answer back to the caller. */
+#define DEADLINE_MARGIN_US (10 * USEC_PER_MSEC)
+
+/* ---- ends ---- */
+
+static void
+exchange_free(struct exchange *x)
+{
+	struct gateway *g = x->gateway;
+
+	exchange_drop_call(x);
+	TAILQ_REMOVE(&g->exchanges, x, link);
+	event_free(x->timer);
+	evhttp_clear_headers(&x->headers);
+	deployment_unref(x->deployment);
+	free(x);
+}
+
+int64_t
+exchange_left_us(const struct exchange *x)
+{
+	return x->deadline_us - clock_now(x->gateway->process.clock);
+}
+
+static void
+log_end(const struct exchange *x, const char *outcome, int code,
+    const char *why, int64_t retry_after_us)
+{
+	const struct gateway *g = x->gateway;
+	int64_t now = clock_now(g->process.clock);
+
+	log_info(g->process.logger, outcome, LF_S("request", x->terms.id),
+	    LF_S("route", x->route->name), LF_S("model", x->terms.model),
+	    LF_I("code", code), LF_S("why", why), LF_I("attempts", x->attempts),
+	    LF_I("unreachable", x->unreachable),
+	    LF_I("may_have_run", x->may_have_run),
+	    LF_I("took_us", now - x->arrived_us),
+	    LF_I("left_us", x->deadline_us - now),
+	    LF_I("retry_after_us", retry_after_us),
+	    LF_I("version", x->deployment->version));
+}
+
+static void
+leave_kept_connection(struct exchange *x)
+{
+	/* A stopping gateway takes no more requests on the connection. */
+	if (x->gateway->stop_us != 0)
+		caller_add_header(x->caller, "Connection", "close");
+}
+
+static void
+reply_problem_code(struct exchange *x, enum result code, const char *why)
+{
+	struct problem p = {
+		.code = code,
+		.outcome = result_info(code)->outcome,
+		.detail = why,
+		.request = x->terms.id,
+	};
+
+	leave_kept_connection(x);
+	caller_problem(x->caller, &p);
+}
+
+void
+exchange_refuse(struct exchange *x, enum result code, const char *why,
+    int64_t retry_after_us)
+{
+	int64_t most =
+	    (int64_t)((double)exchange_left_us(x) * RETRY_AFTER_SHARE);
+	char seconds[32];
+
+	if (x->may_have_run || x->begun) {
+		exchange_fail(x, RESULT_OUTCOME_UNKNOWN, why);
+		return;
+	}
+	if (retry_after_us < RETRY_AFTER_MIN_US)
+		retry_after_us = RETRY_AFTER_MIN_US;
+	/* Spreads the callers that were refused at the same time. */
+	retry_after_us +=
+	    (int64_t)((double)retry_after_us * rng_real(&x->gateway->rng) / 2);
+	if (retry_after_us > most)
+		retry_after_us = most > 0 ? most : 0;
+	snprintf(seconds, sizeof(seconds), "%.3f",
+	    (double)retry_after_us / USEC_PER_SEC);
+	caller_add_header(x->caller, "Retry-After", seconds);
+	(*x->gateway->counters.refused)++;
+	log_end(x, "request refused", result_info(code)->http_status, why,
+	    retry_after_us);
+	reply_problem_code(x, code, why);
+	exchange_free(x);
+}
+
+void
+exchange_fail(struct exchange *x, enum result code, const char *why)
+{
+	(*x->gateway->counters.failed)++;
+	log_end(x, "request failed", result_info(code)->http_status, why, 0);
+	if (x->begun)
+		caller_abort(x->caller);
+	else
+		reply_problem_code(x, code, why);
+	exchange_free(x);
+}
+
+/* The caller has the answer's last byte, or it is on its way. */
+void
+exchange_finish(struct exchange *x, const char *outcome)
+{
+	(*x->gateway->counters.answered)++;
+	log_end(x, "request answered", x->code, outcome, 0);
+	exchange_free(x);
+}
+
+static void
+on_gone(void *ctx)
+{
+	struct exchange *x = ctx;
+
+	(*x->gateway->counters.left)++;
+	log_end(x, "caller left", x->code,
+	    x->backend == NULL ? "waiting" : "sent", 0);
+	exchange_drop_call(x);
+	caller_abort(x->caller);
+	exchange_free(x);
+}
+
+static void
+on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	struct exchange *x = arg;
+
+	if (x->call != NULL)
+		x->may_have_run = true;
+	exchange_drop_call(x);
+	if (x->may_have_run || x->begun)
+		exchange_fail(x, RESULT_DEADLINE_PASSED, "deadline passed");
+	else
+		exchange_refuse(x, RESULT_DEADLINE_UNREACHABLE,
+		    "deadline passed while waiting", 0);
+}
+
+/* ---- choosing ---- */
+
+static bool
+was_tried(const struct exchange *x, const struct backend *b)
+{
+	uint64_t hash = XXH3_64bits(b->entry.id, strlen(b->entry.id));
+
+	for (unsigned i = 0; i < x->tried_count; i++) {
+		if (x->tried[i] == hash)
+			return true;
+	}
+	return false;
+}
+
+/* Tokens of the prompt's head that the replica read before. */
+static uint32_t
+cached_tokens(const struct exchange *x, const struct backend *b)
+{
+	const struct request_terms *t = &x->terms;
+	uint32_t tokens = 0;
+
+	for (unsigned i = 0; i < t->part_count; i++) {
+		uint64_t key = prefix_map_key(
+		    t->model, t->adapter, t->parts[i].id, b->entry.id);
+
+		if (!prefix_map_has(x->gateway->prefixes, key))
+			break;
+		tokens += t->parts[i].tokens;
+	}
+	return tokens;
+}
+
+static void
+fill_candidate(const struct exchange *x, const struct service_spec *service,
+    const struct backend *b, int64_t now, struct select_replica *r)
+{
+	const struct gateway *g = x->gateway;
+
+	memset(r, 0, sizeof(*r));
+	r->id = b->entry.id;
+	r->usable = backend_takes_work(b) && !was_tried(x, b);
+	r->ejected = outlier_ejected(&b->outlier, now);
+	r->same_zone = strcmp(b->entry.zone, g->settings.zone) == 0;
+	r->slots = b->entry.slots;
+	r->running = b->in_flight;
+	if (b->has_report && b->reported + b->sent_since > r->running)
+		r->running = b->reported + b->sent_since;
+	r->pending_tokens = b->pending_tokens;
+	r->cached_tokens = cached_tokens(x, b);
+	r->slowness = b->slowness;
+	r->victim_idle_us = b->victim_idle_us;
+	r->kv_free = b->has_report && b->entry.state.kv_total > 0
+			 ? b->entry.state.kv_total - b->kv_used
+			 : -1;
+	if (service->has_engine && x->terms.model[0] != '\0')
+		r->load_us = backend_load_us(
+		    b, &service->engine, x->terms.model, x->terms.adapter, now);
+}
+
+struct choice {
+	struct backend *backend; /* NULL: none */
+	struct select_choice made;
+	uint32_t new_tokens; /* of the prompt, to read there */
+};
+
+static struct choice
+choose(struct exchange *x, const struct service_spec *service)
+{
+	static struct select_replica candidates[CANDIDATES_MAX];
+	static struct backend *backends[CANDIDATES_MAX];
+	struct gateway *g = x->gateway;
+	struct backend *b = NULL;
+	struct choice choice = { 0 };
+	int64_t now = clock_now(g->process.clock);
+	size_t count = 0;
+	struct select_query q = {
+		.model = x->terms.model,
+		.prompt_tokens = x->terms.prompt_tokens,
+		.answer_tokens = x->terms.expected_tokens != 0
+				     ? x->terms.expected_tokens
+				     : x->terms.max_tokens,
+		.pace = pace_of(g->paces, x->terms.model),
+	};
+
+	while ((b = backends_next(g->backends, b)) != NULL &&
+	       count < CANDIDATES_MAX) {
+		if (strcmp(b->entry.service, x->service) != 0 || !b->listed)
+			continue;
+		fill_candidate(x, service, b, now, &candidates[count]);
+		backends[count++] = b;
+	}
+	choice.made = select_replica(&q, candidates, count);
+	if (choice.made.index == -1)
+		return choice;
+	choice.backend = backends[choice.made.index];
+	choice.new_tokens = q.prompt_tokens;
+	if (candidates[choice.made.index].cached_tokens < q.prompt_tokens)
+		choice.new_tokens -=
+		    candidates[choice.made.index].cached_tokens;
+	else
+		choice.new_tokens = 0;
+	return choice;
+}
+
+static void
+want_load(struct exchange *x, struct backend *b)
+{
+	int64_t now = clock_now(x->gateway->process.clock);
+
+	x->waiting = true;
+	if (x->wanted_us != 0 && now - x->wanted_us < WANT_AGAIN_US)
+		return;
+	if (x->wanted_us == 0)
+		log_info(x->gateway->process.logger, "request waits for a load",
+		    LF_S("request", x->terms.id), LF_S("model", x->terms.model),
+		    LF_S("adapter", x->terms.adapter),
+		    LF_S("replica", b->entry.id),
+		    LF_I("left_us", exchange_left_us(x)));
+	x->wanted_us = now;
+	sidecar_links_want(x->gateway->links, b, &x->terms, x->route->rank,
+	    exchange_left_us(x));
+}
+
+void
+exchange_dispatch(struct exchange *x)
+{
+	const struct service_spec *service =
+	    deployment_service(x->deployment, x->service);
+	struct choice choice;
+
+	if (service == NULL) {
+		exchange_refuse(x, RESULT_NOT_READY, "unknown service", 0);
+		return;
+	}
+	choice = choose(x, service);
+	if (choice.backend == NULL) {
+		exchange_refuse(x, RESULT_BACKEND_UNREACHABLE,
+		    "no replica can run it", 500 * USEC_PER_MSEC);
+		return;
+	}
+	if (choice.made.first_us > exchange_left_us(x)) {
+		exchange_refuse(x, RESULT_DEADLINE_UNREACHABLE,
+		    "predicted first piece is too late", choice.made.first_us);
+		return;
+	}
+	if (choice.made.load_us > 0) {
+		want_load(x, choice.backend);
+		return;
+	}
+	x->waiting = false;
+	exchange_send(
+	    x, choice.backend, choice.made.first_us, choice.new_tokens);
+}
+
+void
+exchanges_review(struct gateway *g)
+{
+	struct exchange *x, *next;
+
+	TAILQ_FOREACH_SAFE(x, &g->exchanges, link, next) {
+		if (x->waiting)
+			exchange_dispatch(x);
+	}
+}
+
+void
+exchanges_abort(struct gateway *g)
+{
+	struct exchange *x, *next;
+
+	TAILQ_FOREACH_SAFE(x, &g->exchanges, link, next) {
+		log_end(x, "request broken off", x->code, "process ends", 0);
+		caller_abort(x->caller);
+		exchange_free(x);
+	}
+}
+
+/* ---- arrival ---- */
+
+static void
+refuse_early(struct gateway *g, struct evhttp_request *req, enum result code,
+    const char *why)
+{
+	struct problem p = {
+		.code = code,
+		.outcome = result_info(code)->outcome,
+		.detail = why,
+	};
+
+	log_info(g->process.logger, "request refused", LF_S("why", why),
+	    LF_I("code", result_info(code)->http_status),
+	    LF_S("path", evhttp_request_get_uri(req)));
+	if (code == RESULT_BAD_REQUEST || g->stop_us != 0)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+		    "Connection", "close");
+	if (result_info(code)->http_status == 503)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+		    "Retry-After", "0.3");
+	reply_problem(req, &p);
+}
+
+/*
+ * What evhttp reads leniently may mean another length to someone else: a second
+ * request could hide in the body.
+ */
+static const char *
+framing_fault(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+	const char *length = NULL;
+	struct evkeyval *h;
+	unsigned codings = 0;
+
+	TAILQ_FOREACH(h, headers, next) {
+		if (strcasecmp(h->key, "Transfer-Encoding") == 0)
+			codings++;
+		if (strcasecmp(h->key, "Content-Length") != 0)
+			continue;
+		if (length != NULL)
+			return "more than one Content-Length";
+		length = h->value;
+	}
+	if (coding != NULL && length != NULL)
+		return "Content-Length beside Transfer-Encoding";
+	if (codings > 1 ||
+	    (coding != NULL && strcasecmp(coding, "chunked") != 0))
+		return "unknown Transfer-Encoding";
+	if (length != NULL &&
+	    (length[0] == '\0' ||
+		strspn(length, "0123456789") != strlen(length)))
+		return "malformed Content-Length";
+	return NULL;
+}
+
+static const struct route *
+find_route(struct gateway *g, struct evhttp_request *req)
+{
+	const char *host = http_header_in(req, "Host");
+	const char *uri = evhttp_request_get_uri(req);
+	size_t len = strcspn(uri, "?");
+	const struct route *route;
+	char *path;
+
+	if (host == NULL)
+		return NULL;
+	path = strndup(uri, len);
+	if (path == NULL)
+		abort();
+	route = deployment_route(g->deployment, host, path);
+	free(path);
+	return route;
+}
+
+static bool
+over_limits(struct gateway *g, struct evhttp_request *req, enum result *code)
+{
+	const struct deployment *d = g->deployment;
+	size_t body = evbuffer_get_length(evhttp_request_get_input_buffer(req));
+	size_t headers = strlen(evhttp_request_get_uri(req));
+	struct evkeyval *h;
+
+	TAILQ_FOREACH(h, evhttp_request_get_input_headers(req), next)
+		headers += strlen(h->key) + strlen(h->value) + strlen(": \r\n");
+	*code = RESULT_TOO_LARGE;
+	if (d->max_body_bytes != 0 && body > d->max_body_bytes)
+		return true;
+	*code = RESULT_HEADERS_TOO_LARGE;
+	return d->max_header_bytes != 0 && headers > d->max_header_bytes;
+}
+
+static void
+set_deadline(struct exchange *x)
+{
+	int64_t wait_us = x->terms.deadline_us > 0 ? x->terms.deadline_us
+						   : DEFAULT_DEADLINE_US;
+
+	if (x->route->timeout_us > 0 && x->route->timeout_us < wait_us)
+		wait_us = x->route->timeout_us;
+	if (wait_us > DEADLINE_MARGIN_US)
+		wait_us -= DEADLINE_MARGIN_US;
+	x->deadline_us = x->arrived_us + wait_us;
+	process_timer_add(x->timer, wait_us);
+}
+
+static void
+start(struct gateway *g, struct evhttp_request *req, const struct route *route,
+    const struct request_terms *terms)
+{
+	struct exchange *x = calloc(1, sizeof(*x));
+	struct evbuffer *body = evhttp_request_get_input_buffer(req);
+
+	if (x == NULL)
+		abort();
+	x->gateway = g;
+	x->deployment = deployment_ref(g->deployment);
+	x->route = route;
+	x->terms = *terms;
+	x->arrived_us = clock_now(g->process.clock);
+	x->body_len = evbuffer_get_length(body);
+	x->body = evbuffer_pullup(body, -1);
+	x->has_last = terms->resumes;
+	x->last_event = terms->last_event;
+	x->service = route_pick_service(route, rng_real(&g->rng));
+	TAILQ_INIT(&x->headers);
+	TAILQ_INSERT_TAIL(&g->exchanges, x, link);
+	x->timer = process_timer(&g->process, on_deadline, x);
+	x->caller =
+	    caller_create(g->process.base, req, MAX_BACKLOG, on_gone, x);
+	caller_count(x->caller, &g->open);
+	set_deadline(x);
+	retry_budget_note(g->budget, x->service);
+	exchange_dispatch(x);
+}
+
+void
+exchange_start(struct gateway *g, struct evhttp_request *req)
+{
+	const char *fault = framing_fault(req);
+	struct request_terms terms;
+	const struct route *route;
+	struct fleet_error err;
+	enum result code;
+
+	if (fault != NULL) {
+		refuse_early(g, req, RESULT_BAD_REQUEST, fault);
+		return;
+	}
+	if (g->deployment == NULL) {
+		refuse_early(g, req, RESULT_NOT_READY, "no deployment yet");
+		return;
+	}
+	route = find_route(g, req);
+	if (route == NULL) {
+		refuse_early(g, req, RESULT_NOT_FOUND, "no route");
+		return;
+	}
+	if (over_limits(g, req, &code)) {
+		refuse_early(g, req, code, "over the deployment's limit");
+		return;
+	}
+	if (g->adapter->read_request(
+		evhttp_request_get_input_headers(req), &terms, &err) == -1) {
+		refuse_early(g, req, RESULT_BAD_REQUEST, err.text);
+		return;
+	}
+	start(g, req, route, &terms);
+}
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,23 @@
+/*
+ * exchange -- one caller's request, from its arrival to its answer.
+ *
+ * It waits until a replica can run it, is sent, sent again where that is
+ * allowed, and answered.  What may run only once is never sent again unless
+ * the replica said that it did not and will not run it.
+ */
+#ifndef GATEWAY_EXCHANGE_H
+#define GATEWAY_EXCHANGE_H
+
+struct evhttp_request;
+struct gateway;
+
+/* Takes over the request. */
+void exchange_start(struct gateway *, struct evhttp_request *);
+
+/* Replicas changed: looks at the waiting requests again. */
+void exchanges_review(struct gateway *);
+
+/* Breaks all exchanges off, at the end of the process. */
+void exchanges_abort(struct gateway *);
+
+#endif
--- /dev/null
+++ b/src/gateway/exchange_internal.h
@@ -0,0 +1,82 @@
+/* exchange_internal -- what the exchange's files share. */
+#ifndef GATEWAY_EXCHANGE_INTERNAL_H
+#define GATEWAY_EXCHANGE_INTERNAL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <bsd/sys/queue.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include "gateway/gateway_internal.h"
+#include "protocol/fleet.h"
+#include "protocol/result.h"
+
+#define EXCHANGE_TRIED_MAX 8
+
+struct backend;
+struct caller;
+struct deployment;
+struct evbuffer;
+struct http_call;
+struct route;
+
+struct exchange {
+	struct gateway *gateway;
+	struct caller *caller;
+	struct deployment *deployment; /* under which it was routed */
+	const struct route *route;
+	const char *service;
+	struct request_terms terms;
+	const void *body; /* of the caller's request, which outlives this */
+	size_t body_len;
+	int64_t arrived_us;
+	int64_t deadline_us;
+	struct event *timer; /* deadline */
+	bool waiting; /* for a replica */
+	int64_t wanted_us; /* when a load was last asked for */
+
+	/* The call under way: */
+	struct backend *backend; /* NULL: none */
+	struct http_call *call;
+	int64_t sent_us;
+	int64_t predicted_us; /* time to the first piece */
+	uint32_t pending_tokens; /* counted at the backend */
+	int code; /* of its answer; 0: none yet */
+	struct evkeyvalq headers; /* of its answer */
+	struct answer_facts facts;
+
+	unsigned attempts; /* sent to a replica */
+	unsigned unreachable; /* connections that failed */
+	bool may_have_run;
+	bool relaying; /* a stream's answer goes to the caller as it comes */
+	bool begun; /* the caller has its head */
+	bool has_last;
+	uint64_t last_event; /* that the caller has */
+	uint64_t tried[EXCHANGE_TRIED_MAX]; /* hashes of replicas' ids */
+	unsigned tried_count;
+	TAILQ_ENTRY(exchange) link;
+};
+
+/* ---- exchange.c ---- */
+
+/* Chooses a replica and sends, waits for a load, or refuses. */
+void exchange_dispatch(struct exchange *);
+int64_t exchange_left_us(const struct exchange *);
+
+/* Ends, each of them frees the exchange. */
+void exchange_refuse(
+    struct exchange *, enum result, const char *why, int64_t retry_after_us);
+void exchange_fail(struct exchange *, enum result, const char *why);
+void exchange_finish(struct exchange *, const char *outcome);
+
+/* ---- exchange_send.c ---- */
+
+void exchange_send(
+    struct exchange *, struct backend *, int64_t predicted_us, uint32_t tokens);
+/* Breaks the call off and lets go of the replica. */
+void exchange_drop_call(struct exchange *);
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,442 @@
+#include "gateway/gateway.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "common/clock.h"
+#include "common/daemon_args.h"
+#include "common/log.h"
+#include "common/metrics.h"
+#include "common/options.h"
+#include "common/reload.h"
+#include "coordination/keyed_feed.h"
+#include "coordination/pace.h"
+#include "coordination/prefix_map.h"
+#include "coordination/retry_budget.h"
+#include "gateway/backends.h"
+#include "gateway/exchange.h"
+#include "gateway/gateway_internal.h"
+#include "gateway/sidecar_links.h"
+#include "protocol/caller.h"
+#include "protocol/problem.h"
+#include "state/deployment.h"
+#include "transport/http_server.h"
+
+#define TICK_US (50 * USEC_PER_MSEC)
+#define LONG_POLL_US (25 * USEC_PER_SEC)
+/* Gathers the changes of many replicas into one call; drains allow 2 s. */
+#define REPLICA_PAUSE_US (400 * USEC_PER_MSEC)
+#define IDLE_TIMEOUT_US (60 * USEC_PER_SEC) /* beyond what callers may idle */
+#define MAX_BODY (8 * 1024 * 1024) /* bytes; the deployment sets less */
+#define MAX_HEADERS 65536 /* bytes; likewise */
+#define PREFIXES 65536
+#define RETRY_TARGETS 256
+/* Probes that balancers miss before they send no new connection. */
+#define STOP_MIN_US (3 * USEC_PER_SEC)
+#define ALL_METHODS 0xffff
+
+#define AT(field) offsetof(struct gateway_settings, field)
+
+static const struct option_desc options[] = {
+	{ "daemon", "vm", OPT_STRING, AT(vm), 0, 0, NULL, NULL,
+	    "name of this VM", false },
+	{ "daemon", "zone", OPT_STRING, AT(zone), 0, 0, NULL, NULL,
+	    "data centre of this VM", false },
+	{ "daemon", "log_level", OPT_LEVELS, AT(log_level), 0, 0, "info", NULL,
+	    "least level written, and by area", true },
+	{ "daemon", "drain_ms", OPT_INT, AT(drain_ms), 0, 3600000, "8000", "ms",
+	    "longest wait for work in flight on shutdown", true },
+	{ "http", "listen", OPT_ADDR, AT(listen), 0, 0, NULL, NULL,
+	    "address for callers", false },
+	{ "http", "ready", OPT_ADDR, AT(ready_listen), 0, 0, NULL, NULL,
+	    "address of the readiness probe", false },
+	{ "http", "metrics", OPT_ADDR, AT(metrics_listen), 0, 0, "", NULL,
+	    "address of /metrics; empty: none", false },
+	{ "store", "address", OPT_ADDR, AT(store), 0, 0, NULL, NULL,
+	    "address of the platform's store", false },
+	{ "store", "timeout_ms", OPT_INT, AT(store_timeout_ms), 10, 60000,
+	    "2000", "ms", "longest wait for an answer of the store", false },
+	{ "store", "lapse_ms", OPT_INT, AT(lapse_ms), 0, 60000, "2500", "ms",
+	    "entries that expire in an outage are back within this time of its "
+	    "end",
+	    true },
+	{ "sidecars", "port", OPT_INT, AT(sidecar_port), 1, 65535, NULL, NULL,
+	    "port of the sidecars", false },
+	{ "retries", "share", OPT_REAL, AT(retry_share), 0, 100, "0.2", NULL,
+	    "most requests sent again, of those that came, over all gateways",
+	    false },
+	{ "retries", "floor", OPT_INT, AT(retry_floor), 0, 1000000, "10", NULL,
+	    "requests that may be sent again in any case, over all gateways",
+	    false },
+	{ "retries", "sharers", OPT_INT, AT(retry_sharers), 1, 10000, "8", NULL,
+	    "gateways that divide the floor among them", false },
+	OPTION_END,
+};
+
+/* ---- deployments ---- */
+
+void
+gateway_take_deployment(
+    struct gateway *g, const void *doc, size_t len, const char *from)
+{
+	struct fleet_error err;
+	struct deployment *d = g->adapter->decode_deployment(doc, len, &err);
+	void *copy;
+
+	if (d == NULL) {
+		log_error(g->process.logger, "deployment cannot be read",
+		    LF_S("from", from), LF_S("why", err.text),
+		    LF_I("bytes", len));
+		return;
+	}
+	if (g->deployment != NULL && d->version <= g->deployment->version) {
+		deployment_unref(d);
+		return;
+	}
+	copy = malloc(len);
+	if (copy == NULL)
+		abort();
+	memcpy(copy, doc, len);
+	free(g->deployment_doc);
+	g->deployment_doc = copy;
+	g->deployment_len = len;
+	log_info(g->process.logger, "deployment in force", LF_S("from", from),
+	    LF_I("version", d->version),
+	    LF_I("was",
+		g->deployment == NULL ? 0 : (int64_t)g->deployment->version),
+	    LF_I("routes", d->route_count), LF_I("services", d->service_count));
+	deployment_unref(g->deployment);
+	g->deployment = d;
+	sidecar_links_refresh(g->links);
+}
+
+static void
+on_deployment_record(void *ctx, const struct fleet_record *record)
+{
+	struct gateway *g = ctx;
+	const char *key = g->adapter->deployment_key;
+
+	if (record->key_len == strlen(key) &&
+	    memcmp(record->key, key, record->key_len) == 0 && record->len > 0)
+		gateway_take_deployment(g, record->value, record->len, "store");
+}
+
+static void
+ignore_snapshot(void *ctx)
+{
+}
+
+/* ---- HTTP ---- */
+
+static void
+on_request(void *ctx, struct evhttp_request *req)
+{
+	exchange_start(ctx, req);
+}
+
+static const char *
+not_ready(const struct gateway *g)
+{
+	if (g->stop_us != 0)
+		return "stopping";
+	if (g->deployment == NULL)
+		return "no deployment yet";
+	if (!keyed_feed_complete(g->replica_feed) &&
+	    backends_count(g->backends) == 0)
+		return "no replicas known yet";
+	return NULL;
+}
+
+static void
+on_ready(void *ctx, struct evhttp_request *req)
+{
+	const char *why = not_ready(ctx);
+
+	if (why == NULL)
+		http_reply(req, 200, "text/plain", "ready\n", 6);
+	else
+		http_reply(req, 503, "text/plain", why, strlen(why));
+}
+
+static void
+on_metrics(void *ctx, struct evhttp_request *req)
+{
+	struct gateway *g = ctx;
+	struct evbuffer *out = evbuffer_new();
+
+	if (out == NULL)
+		abort();
+	metrics_render(g->process.metrics, out);
+	http_reply(req, 200, "text/plain", evbuffer_pullup(out, -1),
+	    evbuffer_get_length(out));
+	evbuffer_free(out);
+}
+
+static void
+on_refuse(void *ctx, struct evhttp_request *req, int status)
+{
+	struct problem p = {
+		.code = status == HTTP_ENTITYTOOLARGE ? RESULT_TOO_LARGE
+			: status == HTTP_HEADERS_TOO_LARGE
+			    ? RESULT_HEADERS_TOO_LARGE
+			: status == HTTP_NOTFOUND  ? RESULT_NOT_FOUND
+			: status == HTTP_BADMETHOD ? RESULT_BAD_METHOD
+						   : RESULT_BAD_REQUEST,
+		.outcome = OUTCOME_NOT_RUN,
+	};
+
+	reply_problem(req, &p);
+}
+
+static const struct http_route front_routes[] = {
+	{ "/", ALL_METHODS, on_request },
+	{ 0 },
+};
+
+static const struct http_route metrics_routes[] = {
+	{ "/metrics", EVHTTP_REQ_GET, on_metrics },
+	{ 0 },
+};
+
+static struct http_server *
+serve(struct gateway *g, const char *address, const struct http_route *routes)
+{
+	struct http_server_options opts = {
+		.base = g->process.base,
+		.routes = routes,
+		.ctx = g,
+		.max_body = MAX_BODY,
+		.max_headers = MAX_HEADERS,
+		.idle_timeout_us = IDLE_TIMEOUT_US,
+		.metrics = g->process.metrics,
+		.refuse = on_refuse,
+	};
+	struct http_server *server = http_server_create(&opts);
+
+	if (server == NULL || http_server_listen(server, address) == -1) {
+		log_error(g->process.logger, "cannot listen",
+		    LF_S("address", address));
+		http_server_destroy(server);
+		return NULL;
+	}
+	return server;
+}
+
+/* ---- life ---- */
+
+static void
+on_stop(void *ctx)
+{
+	struct gateway *g = ctx;
+
+	if (g->stop_us != 0)
+		return;
+	g->stop_us = clock_now(g->process.clock);
+	log_info(g->process.logger, "stopping", LF_I("open", g->open));
+}
+
+static void
+on_reload(void *ctx)
+{
+	struct gateway *g = ctx;
+	const struct settings_file file = { g->path, options, &g->settings,
+		sizeof(g->settings), NULL };
+
+	if (settings_reload(&file, g->process.logger) == 0)
+		(void)logger_set_levels(
+		    g->process.logger, g->settings.log_level);
+}
+
+static void
+check_stopped(struct gateway *g)
+{
+	int64_t since = clock_now(g->process.clock) - g->stop_us;
+
+	if (since < STOP_MIN_US)
+		return;
+	if (g->open > 0 &&
+	    since < g->settings.drain_ms * USEC_PER_MSEC - 2 * TICK_US)
+		return;
+	log_info(g->process.logger, "stopped", LF_I("open", g->open));
+	event_base_loopbreak(g->process.base);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct gateway *g = arg;
+
+	process_timer_add(g->tick, TICK_US);
+	backends_tick(g->backends);
+	sidecar_links_tick(g->links);
+	exchanges_review(g);
+	if (g->stop_us != 0)
+		check_stopped(g);
+}
+
+static struct keyed_feed *
+follow(struct gateway *g, enum fleet_topic topic, const char *name,
+    int64_t pause_us, void (*record)(void *, const struct fleet_record *),
+    void (*begin)(void *), void (*end)(void *), void *ctx)
+{
+	struct keyed_feed_options opts = {
+		.process = &g->process,
+		.ops = g->adapter->store,
+		.store = g->store,
+		.topic = topic,
+		.name = name,
+		.wait_us = LONG_POLL_US,
+		.pause_us = pause_us,
+		.record = record,
+		.snapshot_begin = begin,
+		.snapshot_end = end,
+		.ctx = ctx,
+	};
+
+	return keyed_feed_create(&opts);
+}
+
+static int
+create_policies(struct gateway *g)
+{
+	struct retry_budget_options retries = {
+		.share = g->settings.retry_share,
+		.burst = (double)g->settings.retry_floor /
+			 (double)g->settings.retry_sharers,
+		.max_targets = RETRY_TARGETS,
+	};
+
+	g->budget = retry_budget_create(&retries);
+	g->prefixes = prefix_map_create(PREFIXES);
+	g->paces = pace_create();
+	g->backends = backends_create(g);
+	g->links = sidecar_links_create(g);
+	return g->budget == NULL || g->prefixes == NULL || g->paces == NULL ||
+		       g->backends == NULL || g->links == NULL
+		   ? -1
+		   : 0;
+}
+
+static int
+create_store(struct gateway *g)
+{
+	struct fleet_store_options store = {
+		.base = g->process.base,
+		.address = g->settings.store,
+		.timeout_us = g->settings.store_timeout_ms * USEC_PER_MSEC,
+	};
+
+	g->store = g->adapter->store->create(&store);
+	if (g->store == NULL)
+		return -1;
+	g->deployment_feed = follow(g, FLEET_DEPLOYMENT, "deployment", 0,
+	    on_deployment_record, ignore_snapshot, ignore_snapshot, g);
+	g->replica_feed = follow(g, FLEET_REPLICAS, "replicas",
+	    REPLICA_PAUSE_US, backends_record, backends_snapshot_begin,
+	    backends_snapshot_end, g->backends);
+	return g->deployment_feed == NULL || g->replica_feed == NULL ? -1 : 0;
+}
+
+static void
+create_counters(struct gateway *g)
+{
+	struct metrics *m = g->process.metrics;
+
+	g->counters.answered = metrics_counter(m, "gateway_answered_total", "");
+	g->counters.refused = metrics_counter(m, "gateway_refused_total", "");
+	g->counters.failed = metrics_counter(m, "gateway_failed_total", "");
+	g->counters.left = metrics_counter(m, "gateway_callers_left_total", "");
+	g->counters.resent = metrics_counter(m, "gateway_resent_total", "");
+	g->counters.resumed = metrics_counter(m, "gateway_resumed_total", "");
+}
+
+static int
+listen_all(struct gateway *g, struct http_route *ready_routes)
+{
+	ready_routes[0] = (struct http_route){ g->adapter->ready_path,
+		EVHTTP_REQ_GET, on_ready };
+	g->ready = serve(g, g->settings.ready_listen, ready_routes);
+	g->front = serve(g, g->settings.listen, front_routes);
+	if (g->ready == NULL || g->front == NULL)
+		return -1;
+	if (g->settings.metrics_listen[0] == '\0')
+		return 0;
+	g->metrics_http = serve(g, g->settings.metrics_listen, metrics_routes);
+	return g->metrics_http == NULL ? -1 : 0;
+}
+
+static int
+run(struct gateway *g)
+{
+	struct process_options process = {
+		.name = "gateway",
+		.log_levels = g->settings.log_level,
+		.stop = on_stop,
+		.reload = on_reload,
+		.ctx = g,
+	};
+	struct http_route ready_routes[2] = { { 0 } };
+	int rc = 1;
+
+	TAILQ_INIT(&g->exchanges);
+	if (process_open(&g->process, &process) == -1)
+		return 1;
+	rng_seed_system(&g->rng);
+	create_counters(g);
+	if (create_policies(g) == -1 || create_store(g) == -1) {
+		log_error(g->process.logger, "cannot start",
+		    LF_S("why", "bad address or no memory"));
+		goto out;
+	}
+	if (listen_all(g, ready_routes) == -1)
+		goto out;
+	g->tick = process_timer(&g->process, on_tick, g);
+	process_timer_add(g->tick, TICK_US);
+	log_info(g->process.logger, "started", LF_S("vm", g->settings.vm),
+	    LF_S("zone", g->settings.zone), LF_S("version", TM_VERSION));
+	rc = event_base_dispatch(g->process.base) == -1 ? 1 : 0;
+
+out:
+	exchanges_abort(g);
+	http_server_destroy(g->front);
+	http_server_destroy(g->ready);
+	http_server_destroy(g->metrics_http);
+	keyed_feed_destroy(g->deployment_feed);
+	keyed_feed_destroy(g->replica_feed);
+	g->adapter->store->destroy(g->store);
+	sidecar_links_destroy(g->links);
+	g->links = NULL;
+	backends_destroy(g->backends);
+	pace_destroy(g->paces);
+	prefix_map_destroy(g->prefixes);
+	retry_budget_destroy(g->budget);
+	deployment_unref(g->deployment);
+	free(g->deployment_doc);
+	if (g->tick != NULL)
+		event_free(g->tick);
+	process_close(&g->process);
+	return rc;
+}
+
+int
+gateway_main(int argc, char **argv, const struct fleet_adapter *adapter)
+{
+	struct gateway *g = calloc(1, sizeof(*g));
+	int rc;
+
+	if (g == NULL)
+		return 1;
+	g->adapter = adapter;
+	rc = daemon_args_load(argc, argv,
+	    "Takes callers' requests on a platform and sends them to replicas.",
+	    options, &g->settings, NULL, &g->path);
+	if (rc == -1)
+		rc = run(g);
+	options_free(options, &g->settings);
+	free(g);
+	return rc;
+}
--- /dev/null
+++ b/src/gateway/gateway_internal.h
@@ -0,0 +1,84 @@
+/* gateway_internal -- state that the gateway's files share. */
+#ifndef GATEWAY_GATEWAY_INTERNAL_H
+#define GATEWAY_GATEWAY_INTERNAL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <bsd/sys/queue.h>
+
+#include "common/process.h"
+#include "common/rng.h"
+#include "protocol/fleet.h"
+
+struct backends;
+struct deployment;
+struct exchange;
+struct http_server;
+struct keyed_feed;
+struct sidecar_links;
+struct model_pace;
+struct prefix_map;
+struct retry_budget;
+
+struct gateway_settings {
+	char *vm;
+	char *zone;
+	char *log_level;
+	char *listen;
+	char *ready_listen;
+	char *metrics_listen;
+	char *store;
+	int64_t store_timeout_ms;
+	int64_t sidecar_port;
+	int64_t drain_ms;
+	int64_t lapse_ms;
+	double retry_share;
+	int64_t retry_floor;
+	int64_t retry_sharers;
+};
+
+struct gateway_counters {
+	uint64_t *answered;
+	uint64_t *refused;
+	uint64_t *failed;
+	uint64_t *left;
+	uint64_t *resent;
+	uint64_t *resumed;
+};
+
+TAILQ_HEAD(exchange_list, exchange);
+
+struct gateway {
+	struct gateway_settings settings;
+	const char *path;
+	const struct fleet_adapter *adapter;
+	struct process process;
+	void *store;
+	struct keyed_feed *deployment_feed;
+	struct keyed_feed *replica_feed;
+	struct deployment *deployment; /* NULL until the first one */
+	void *deployment_doc; /* as it came, for peers */
+	size_t deployment_len;
+	struct backends *backends;
+	struct sidecar_links *links;
+	struct http_server *front;
+	struct http_server *ready;
+	struct http_server *metrics_http;
+	struct exchange_list exchanges;
+	size_t open; /* answers that have not left this process */
+	struct retry_budget *budget;
+	struct prefix_map *prefixes;
+	struct model_pace *paces;
+	struct rng rng;
+	struct event *tick;
+	int64_t stop_us; /* when SIGTERM came; 0: runs */
+	struct gateway_counters counters;
+};
+
+/* Takes a deployment that is newer than the one in force. */
+void gateway_take_deployment(
+    struct gateway *, const void *doc, size_t len, const char *from);
+
+#endif
--- a/src/main.c
+++ b/src/main.c
@@ -7,6 +7,21 @@
 #include "common/daemon_args.h"
 #include "ctl/ctl.h"
 #include "entry/entry.h"
+#include "gateway/gateway.h"
+#include "platform/platform.h"
+#include "sidecar/sidecar.h"
+
+static int
+platform_gateway(int argc, char **argv)
+{
+	return gateway_main(argc, argv, &platform_adapter);
+}
+
+static int
+platform_sidecar(int argc, char **argv)
+{
+	return sidecar_main(argc, argv, &platform_adapter);
+}
 
 static const struct {
 	const char *name;
@@ -15,6 +30,10 @@
 } commands[] = {
 	{ "entry", entry_main, "serve callers and operators" },
 	{ "agent", agent_main, "give one backend server its work and orders" },
+	{ "gateway", platform_gateway,
+	    "serve callers of a platform, straight from its replicas" },
+	{ "sidecar", platform_sidecar,
+	    "order the platform's replica beside it" },
 	{ "ctl", ctl_main, "declare, watch and drain" },
 	{ "bench", bench_main, "put load on a deployment and report" },
 };
--- a/src/protocol/caller.c
+++ b/src/protocol/caller.c
@@ -158,6 +158,15 @@
 		http_reply(req, code, content_type, body, len);
 }
 
+void
+caller_reply_buffer(struct caller *c, int code, struct evbuffer *body)
+{
+	struct evhttp_request *req = end(c);
+
+	if (req != NULL)
+		evhttp_send_reply(req, code, NULL, body);
+}
+
 void
 caller_reply_json(struct caller *c, int code, json_t *doc)
 {
@@ -204,7 +213,8 @@
 	c->begun = true;
 	if (c->req == NULL)
 		return;
-	caller_add_header(c, "Content-Type", content_type);
+	if (content_type != NULL)
+		caller_add_header(c, "Content-Type", content_type);
 	evhttp_send_reply_start(c->req, code, NULL);
 }
 
--- a/src/protocol/caller.h
+++ b/src/protocol/caller.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 struct caller;
+struct evbuffer;
 struct event_base;
 struct evhttp_request;
 struct json_t;
@@ -33,11 +34,13 @@
 
 void caller_reply(struct caller *, int code, const char *content_type,
     const void *body, size_t len);
+/* A body whose type the added headers name, if any; drains the buffer. */
+void caller_reply_buffer(struct caller *, int code, struct evbuffer *);
 /* Steals the document. */
 void caller_reply_json(struct caller *, int code, struct json_t *);
 void caller_problem(struct caller *, const struct problem *);
 
-/* A body in chunks. */
+/* A body in chunks; content_type NULL: the added headers name it, if any. */
 void caller_begin(struct caller *, int code, const char *content_type);
 bool caller_begun(const struct caller *);
 /* -1 when the caller reads too slowly; abort it then. */
--- /dev/null
+++ b/src/protocol/event_stream.c
@@ -0,0 +1,61 @@
+#include "protocol/event_stream.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+
+/* Length of the first event, or 0: lines may end with LF or CR LF. */
+static size_t
+event_len(const char *data, size_t len)
+{
+	const char *end = data + len, *at = data;
+
+	while ((at = memchr(at, '\n', (size_t)(end - at))) != NULL) {
+		const char *next = at + 1;
+
+		if (next < end && *next == '\r')
+			next++;
+		if (next < end && *next == '\n')
+			return (size_t)(next + 1 - data);
+		at++;
+	}
+	return 0;
+}
+
+static void
+read_id(const char *line, size_t len, struct stream_event *ev)
+{
+	static const char name[] = "id:";
+	char *end;
+
+	if (len <= strlen(name) || memcmp(line, name, strlen(name)) != 0)
+		return;
+	ev->id = strtoull(line + strlen(name), &end, 10);
+	ev->has_id = end != line + strlen(name);
+}
+
+bool
+event_stream_next(struct evbuffer *buf, struct stream_event *ev)
+{
+	size_t len = evbuffer_get_length(buf);
+	const char *data, *at;
+	size_t left;
+
+	memset(ev, 0, sizeof(*ev));
+	if (len == 0)
+		return false;
+	data = (const char *)evbuffer_pullup(buf, -1);
+	ev->len = event_len(data, len);
+	if (ev->len == 0)
+		return false;
+	for (at = data, left = ev->len; left > 0;) {
+		const char *nl = memchr(at, '\n', left);
+		size_t line = nl == NULL ? left : (size_t)(nl - at) + 1;
+
+		read_id(at, line, ev);
+		at += line;
+		left -= line;
+	}
+	return true;
+}
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -470,6 +470,65 @@
 	tm_vm vms<TM_LIST_MAX>;
 };
 
+/* ---- gateways and sidecars ---- */
+
+const TM_HELD_MAX = 16;
+const TM_COPIES_MAX = 64;
+
+struct tm_held_model {
+	tm_name name;
+	tm_name adapters<TM_HELD_MAX>;
+};
+
+/* One-way, sidecar to gateways: what the replica beside it holds. */
+struct tm_replica_holds {
+	unsigned hyper born_ms;		/* 0: the replica does not answer */
+	bool draining;
+	hyper gone_in_us;		/* -1: not told */
+	tm_held_model models<TM_HELD_MAX>;
+	tm_name in_memory<TM_COPIES_MAX>;
+	tm_name on_disk<TM_COPIES_MAX>;
+	tm_name loading;		/* model under way; "": none */
+	hyper loading_left_us;
+	double free_mb;			/* of the replica's weight memory */
+	hyper victim_idle_us;		/* of the model to evict; -1: none */
+	unsigned int gateways;		/* that are connected to the sidecar */
+};
+
+/* One-way, sidecar to gateways. */
+struct tm_replica_load {
+	unsigned int queued;
+	unsigned int active;
+	hyper kv_used;			/* tokens */
+};
+
+/* One-way, gateway to sidecar: requests wait for this model. */
+struct tm_replica_want {
+	tm_name model;
+	tm_name adapter;		/* "": none */
+	unsigned int rank;
+	unsigned int waiting;
+	unsigned hyper left_us;		/* the want lapses then */
+};
+
+struct tm_model_use {
+	tm_name model;
+	tm_name adapter;
+	unsigned int started;		/* since the last message */
+	unsigned int in_flight;
+};
+
+/* One-way, gateway to sidecar. */
+struct tm_replica_use {
+	tm_model_use uses<TM_LIST_MAX>;
+};
+
+/* One-way, to a peer whose deployment is older. */
+struct tm_deployment_doc {
+	unsigned hyper ver;
+	opaque doc<TM_BODY_MAX>;
+};
+
 program TM_PROG {
 	version TM_V1 {
 		tm_hello_reply TM_HELLO(tm_hello_args) = 1;
@@ -492,5 +551,10 @@
 		tm_list_reply TM_LIST_PULL(void) = 18;
 		/* One-way, agent to entries: replicas changed. */
 		void TM_LOAD(tm_load_report) = 19;
+		void TM_REPLICA_HOLDS(tm_replica_holds) = 20;
+		void TM_REPLICA_LOAD(tm_replica_load) = 21;
+		void TM_REPLICA_WANT(tm_replica_want) = 22;
+		void TM_REPLICA_USE(tm_replica_use) = 23;
+		void TM_DEPLOYMENT(tm_deployment_doc) = 24;
 	} = 1;
 } = 0x20746d31;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1170,3 +1170,120 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_tm_held_model (XDR *xdrs, tm_held_model *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_tm_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val, (u_int *) &objp->adapters.adapters_len, TM_HELD_MAX,
+		sizeof (tm_name), (xdrproc_t) xdr_tm_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_replica_holds (XDR *xdrs, tm_replica_holds *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->gone_in_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->models.models_val, (u_int *) &objp->models.models_len, TM_HELD_MAX,
+		sizeof (tm_held_model), (xdrproc_t) xdr_tm_held_model))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->in_memory.in_memory_val, (u_int *) &objp->in_memory.in_memory_len, TM_COPIES_MAX,
+		sizeof (tm_name), (xdrproc_t) xdr_tm_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->on_disk.on_disk_val, (u_int *) &objp->on_disk.on_disk_len, TM_COPIES_MAX,
+		sizeof (tm_name), (xdrproc_t) xdr_tm_name))
+		 return FALSE;
+	 if (!xdr_tm_name (xdrs, &objp->loading))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->loading_left_us))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->free_mb))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->victim_idle_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->gateways))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_replica_load (XDR *xdrs, tm_replica_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->queued))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->active))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->kv_used))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_replica_want (XDR *xdrs, tm_replica_want *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_tm_name (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_tm_name (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rank))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->left_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_model_use (XDR *xdrs, tm_model_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_tm_name (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_tm_name (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->started))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_flight))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_replica_use (XDR *xdrs, tm_replica_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->uses.uses_val, (u_int *) &objp->uses.uses_len, TM_LIST_MAX,
+		sizeof (tm_model_use), (xdrproc_t) xdr_tm_model_use))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_deployment_doc (XDR *xdrs, tm_deployment_doc *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ver))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->doc.doc_val, (u_int *) &objp->doc.doc_len, TM_BODY_MAX))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -556,6 +556,82 @@
 	} vms;
 };
 typedef struct tm_list_reply tm_list_reply;
+#define TM_HELD_MAX 16
+#define TM_COPIES_MAX 64
+
+struct tm_held_model {
+	tm_name name;
+	struct {
+		u_int adapters_len;
+		tm_name *adapters_val;
+	} adapters;
+};
+typedef struct tm_held_model tm_held_model;
+
+struct tm_replica_holds {
+	u_quad_t born_ms;
+	bool_t draining;
+	quad_t gone_in_us;
+	struct {
+		u_int models_len;
+		tm_held_model *models_val;
+	} models;
+	struct {
+		u_int in_memory_len;
+		tm_name *in_memory_val;
+	} in_memory;
+	struct {
+		u_int on_disk_len;
+		tm_name *on_disk_val;
+	} on_disk;
+	tm_name loading;
+	quad_t loading_left_us;
+	double free_mb;
+	quad_t victim_idle_us;
+	u_int gateways;
+};
+typedef struct tm_replica_holds tm_replica_holds;
+
+struct tm_replica_load {
+	u_int queued;
+	u_int active;
+	quad_t kv_used;
+};
+typedef struct tm_replica_load tm_replica_load;
+
+struct tm_replica_want {
+	tm_name model;
+	tm_name adapter;
+	u_int rank;
+	u_int waiting;
+	u_quad_t left_us;
+};
+typedef struct tm_replica_want tm_replica_want;
+
+struct tm_model_use {
+	tm_name model;
+	tm_name adapter;
+	u_int started;
+	u_int in_flight;
+};
+typedef struct tm_model_use tm_model_use;
+
+struct tm_replica_use {
+	struct {
+		u_int uses_len;
+		tm_model_use *uses_val;
+	} uses;
+};
+typedef struct tm_replica_use tm_replica_use;
+
+struct tm_deployment_doc {
+	u_quad_t ver;
+	struct {
+		u_int doc_len;
+		char *doc_val;
+	} doc;
+};
+typedef struct tm_deployment_doc tm_deployment_doc;
 
 #define TM_PROG 0x20746d31
 #define TM_V1 1
@@ -618,6 +694,21 @@
 #define TM_LOAD 19
 extern  void * tm_load_1(tm_load_report *, CLIENT *);
 extern  void * tm_load_1_svc(tm_load_report *, struct svc_req *);
+#define TM_REPLICA_HOLDS 20
+extern  void * tm_replica_holds_1(tm_replica_holds *, CLIENT *);
+extern  void * tm_replica_holds_1_svc(tm_replica_holds *, struct svc_req *);
+#define TM_REPLICA_LOAD 21
+extern  void * tm_replica_load_1(tm_replica_load *, CLIENT *);
+extern  void * tm_replica_load_1_svc(tm_replica_load *, struct svc_req *);
+#define TM_REPLICA_WANT 22
+extern  void * tm_replica_want_1(tm_replica_want *, CLIENT *);
+extern  void * tm_replica_want_1_svc(tm_replica_want *, struct svc_req *);
+#define TM_REPLICA_USE 23
+extern  void * tm_replica_use_1(tm_replica_use *, CLIENT *);
+extern  void * tm_replica_use_1_svc(tm_replica_use *, struct svc_req *);
+#define TM_DEPLOYMENT 24
+extern  void * tm_deployment_1(tm_deployment_doc *, CLIENT *);
+extern  void * tm_deployment_1_svc(tm_deployment_doc *, struct svc_req *);
 extern int tm_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -678,6 +769,21 @@
 #define TM_LOAD 19
 extern  void * tm_load_1();
 extern  void * tm_load_1_svc();
+#define TM_REPLICA_HOLDS 20
+extern  void * tm_replica_holds_1();
+extern  void * tm_replica_holds_1_svc();
+#define TM_REPLICA_LOAD 21
+extern  void * tm_replica_load_1();
+extern  void * tm_replica_load_1_svc();
+#define TM_REPLICA_WANT 22
+extern  void * tm_replica_want_1();
+extern  void * tm_replica_want_1_svc();
+#define TM_REPLICA_USE 23
+extern  void * tm_replica_use_1();
+extern  void * tm_replica_use_1_svc();
+#define TM_DEPLOYMENT 24
+extern  void * tm_deployment_1();
+extern  void * tm_deployment_1_svc();
 extern int tm_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -746,6 +852,13 @@
 extern  bool_t xdr_tm_vm (XDR *, tm_vm*);
 extern  bool_t xdr_tm_list_news (XDR *, tm_list_news*);
 extern  bool_t xdr_tm_list_reply (XDR *, tm_list_reply*);
+extern  bool_t xdr_tm_held_model (XDR *, tm_held_model*);
+extern  bool_t xdr_tm_replica_holds (XDR *, tm_replica_holds*);
+extern  bool_t xdr_tm_replica_load (XDR *, tm_replica_load*);
+extern  bool_t xdr_tm_replica_want (XDR *, tm_replica_want*);
+extern  bool_t xdr_tm_model_use (XDR *, tm_model_use*);
+extern  bool_t xdr_tm_replica_use (XDR *, tm_replica_use*);
+extern  bool_t xdr_tm_deployment_doc (XDR *, tm_deployment_doc*);
 
 #else /* K&R C */
 extern bool_t xdr_tm_id ();
@@ -810,6 +923,13 @@
 extern bool_t xdr_tm_vm ();
 extern bool_t xdr_tm_list_news ();
 extern bool_t xdr_tm_list_reply ();
+extern bool_t xdr_tm_held_model ();
+extern bool_t xdr_tm_replica_holds ();
+extern bool_t xdr_tm_replica_load ();
+extern bool_t xdr_tm_replica_want ();
+extern bool_t xdr_tm_model_use ();
+extern bool_t xdr_tm_replica_use ();
+extern bool_t xdr_tm_deployment_doc ();
 
 #endif /* K&R C */
 
--- /dev/null
+++ b/src/sidecar/peers.c
@@ -0,0 +1,443 @@
+#include "sidecar/peers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+#include <bsd/sys/queue.h>
+#include <xxhash.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "protocol/tm_xdr.h"
+#include "sidecar/sidecar_internal.h"
+#include "sidecar/steering.h"
+#include "state/deployment.h"
+#include "transport/rpc.h"
+
+#define MAX_RECORD (8 * 1024 * 1024) /* bytes: a deployment and its frame */
+#define MAX_OUTPUT (16 * 1024 * 1024) /* bytes */
+#define STALL_US (3 * USEC_PER_SEC)
+#define DEAD_PEER_US (3 * USEC_PER_SEC)
+#define LOAD_PAUSE_US (250 * USEC_PER_MSEC) /* between two load messages */
+/* The victim's idle time grows all the while: told in such steps. */
+#define IDLE_STEP_US (4 * USEC_PER_SEC)
+/* A peer that reads the store itself has a new deployment by then. */
+#define RELAY_AFTER_US (400 * USEC_PER_MSEC)
+#define USES_MAX 256 /* of one gateway */
+#define KEY_SIZE (2 * FLEET_NAME_MAX + 2)
+
+struct peer_use {
+	char model[FLEET_NAME_MAX];
+	char adapter[FLEET_NAME_MAX];
+	unsigned in_flight;
+};
+
+struct peer {
+	struct rpc_conn *conn;
+	uint64_t version; /* deployment that it has */
+	bool told; /* it has what the replica holds */
+	struct peer_use uses[USES_MAX];
+	unsigned use_count;
+	TAILQ_ENTRY(peer) link;
+};
+
+struct peers {
+	struct sidecar *sidecar;
+	struct rpc *rpc;
+	unsigned count;
+	uint64_t holds_hash;
+	struct tm_replica_load load; /* as told last */
+	int64_t load_us;
+	uint64_t deployment_version;
+	int64_t deployment_since_us;
+	TAILQ_HEAD(, peer) list;
+};
+
+static struct peer *
+peer_of(struct peers *ps, struct rpc_call *call)
+{
+	struct rpc_conn *conn = rpc_call_conn(call);
+	struct peer *p;
+
+	if (conn == NULL)
+		return NULL;
+	p = rpc_conn_owner(conn);
+	if (p != NULL)
+		return p;
+	p = calloc(1, sizeof(*p));
+	if (p == NULL)
+		abort();
+	p->conn = conn;
+	p->version = rpc_call_versions(call).config;
+	rpc_conn_set_owner(conn, p);
+	TAILQ_INSERT_TAIL(&ps->list, p, link);
+	ps->count++;
+	log_info(ps->sidecar->process.logger, "gateway connected",
+	    LF_I("gateways", ps->count));
+	return p;
+}
+
+/* ---- what gateways tell ---- */
+
+static unsigned
+in_flight_of_all(const struct peers *ps, const char *model, const char *adapter)
+{
+	unsigned sum = 0;
+	struct peer *p;
+
+	TAILQ_FOREACH(p, &ps->list, link) {
+		for (unsigned i = 0; i < p->use_count; i++) {
+			if (strcmp(p->uses[i].model, model) == 0 &&
+			    strcmp(p->uses[i].adapter, adapter) == 0)
+				sum += p->uses[i].in_flight;
+		}
+	}
+	return sum;
+}
+
+static struct peer_use *
+peer_use(struct peer *p, const char *model, const char *adapter)
+{
+	struct peer_use *use;
+
+	for (unsigned i = 0; i < p->use_count; i++) {
+		if (strcmp(p->uses[i].model, model) == 0 &&
+		    strcmp(p->uses[i].adapter, adapter) == 0)
+			return &p->uses[i];
+	}
+	if (p->use_count == USES_MAX)
+		return NULL;
+	use = &p->uses[p->use_count++];
+	strlcpy(use->model, model, sizeof(use->model));
+	strlcpy(use->adapter, adapter, sizeof(use->adapter));
+	use->in_flight = 0;
+	return use;
+}
+
+static void
+on_use(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct peers *ps = ctx;
+	struct peer *p = peer_of(ps, call);
+	const struct tm_replica_use *told = arg;
+
+	if (p == NULL)
+		return;
+	for (u_int i = 0; i < told->uses.uses_len; i++) {
+		const struct tm_model_use *u = &told->uses.uses_val[i];
+		struct peer_use *use = peer_use(p, u->model, u->adapter);
+
+		if (use == NULL)
+			continue;
+		use->in_flight = u->in_flight;
+		steering_use(ps->sidecar->steering, u,
+		    in_flight_of_all(ps, u->model, u->adapter));
+	}
+	if (!p->told)
+		peers_tell(ps);
+}
+
+static void
+on_want(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct peers *ps = ctx;
+
+	if (peer_of(ps, call) != NULL)
+		steering_want(ps->sidecar->steering, arg);
+}
+
+static void
+on_deployment(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct peers *ps = ctx;
+	const struct tm_deployment_doc *told = arg;
+
+	sidecar_take_deployment(
+	    ps->sidecar, told->doc.doc_val, told->doc.doc_len, "peer");
+}
+
+static const struct rpc_handler handlers[] = {
+	{ TM_REPLICA_USE, (xdrproc_t)xdr_tm_replica_use,
+	    sizeof(struct tm_replica_use), NULL, on_use, NULL },
+	{ TM_REPLICA_WANT, (xdrproc_t)xdr_tm_replica_want,
+	    sizeof(struct tm_replica_want), NULL, on_want, NULL },
+	{ TM_DEPLOYMENT, (xdrproc_t)xdr_tm_deployment_doc,
+	    sizeof(struct tm_deployment_doc), NULL, on_deployment, NULL },
+	{ 0 },
+};
+
+/* ---- what this sidecar tells ---- */
+
+struct holds_message {
+	struct tm_replica_holds msg;
+	struct tm_held_model models[FLEET_MODELS_MAX];
+	char *adapters[FLEET_MODELS_MAX][FLEET_ADAPTERS_MAX];
+	char *in_memory[FLEET_COPIES_MAX];
+	char *on_disk[FLEET_COPIES_MAX];
+	struct replica_state state;
+};
+
+static u_int
+name_list(struct weight_copies *copies, char **out)
+{
+	for (unsigned i = 0; i < copies->count; i++)
+		out[i] = copies->names[i];
+	return copies->count;
+}
+
+static void
+fill_models(struct holds_message *m)
+{
+	for (unsigned i = 0; i < m->state.model_count; i++) {
+		struct held_model *held = &m->state.models[i];
+		struct tm_held_model *out = &m->models[i];
+
+		out->name = held->name;
+		for (unsigned j = 0; j < held->adapter_count; j++)
+			m->adapters[i][j] = held->adapters[j];
+		out->adapters.adapters_val = m->adapters[i];
+		out->adapters.adapters_len = held->adapter_count;
+	}
+	m->msg.models.models_val = m->models;
+	m->msg.models.models_len = m->state.model_count;
+}
+
+static void
+fill_holds(struct peers *ps, struct holds_message *m)
+{
+	struct steering *s = ps->sidecar->steering;
+	const struct replica_state *state = steering_state(s);
+	int64_t left_us, idle_us;
+	const char *loading = steering_loading(s, &left_us);
+
+	memset(m, 0, sizeof(*m));
+	m->msg.loading = (char *)"";
+	m->msg.gateways = ps->count;
+	m->msg.gone_in_us = -1;
+	m->msg.victim_idle_us = -1;
+	if (state == NULL)
+		return;
+	m->state = *state;
+	m->msg.born_ms = state->born_ms;
+	m->msg.draining = state->draining;
+	m->msg.gone_in_us = state->gone_in_us;
+	fill_models(m);
+	m->msg.in_memory.in_memory_val = m->in_memory;
+	m->msg.in_memory.in_memory_len =
+	    name_list(&m->state.in_memory, m->in_memory);
+	m->msg.on_disk.on_disk_val = m->on_disk;
+	m->msg.on_disk.on_disk_len = name_list(&m->state.on_disk, m->on_disk);
+	if (loading != NULL)
+		m->msg.loading = (char *)loading;
+	m->msg.loading_left_us = left_us;
+	m->msg.free_mb = steering_free_mb(s);
+	idle_us = steering_victim_idle_us(s);
+	m->msg.victim_idle_us =
+	    idle_us < 0 ? -1 : idle_us / IDLE_STEP_US * IDLE_STEP_US;
+}
+
+/* Of all fields that are worth a message when they change. */
+static uint64_t
+hash_holds(const struct holds_message *m)
+{
+	const struct replica_state *s = &m->state;
+	XXH3_state_t *h = XXH3_createState();
+	uint64_t hash;
+
+	if (h == NULL)
+		abort();
+	XXH3_64bits_reset(h);
+	XXH3_64bits_update(h, &s->born_ms, sizeof(s->born_ms));
+	XXH3_64bits_update(h, &s->draining, sizeof(s->draining));
+	XXH3_64bits_update(h, s->models, sizeof(s->models));
+	XXH3_64bits_update(h, &s->in_memory, sizeof(s->in_memory));
+	XXH3_64bits_update(h, &s->on_disk, sizeof(s->on_disk));
+	XXH3_64bits_update(h, m->msg.loading, strlen(m->msg.loading));
+	XXH3_64bits_update(
+	    h, &m->msg.victim_idle_us, sizeof(m->msg.victim_idle_us));
+	hash = XXH3_64bits_digest(h);
+	XXH3_freeState(h);
+	return hash;
+}
+
+static void
+tell_holds(struct peers *ps)
+{
+	static struct holds_message m;
+	uint64_t hash;
+	struct peer *p;
+
+	fill_holds(ps, &m);
+	hash = hash_holds(&m);
+	TAILQ_FOREACH(p, &ps->list, link) {
+		if (p->told && hash == ps->holds_hash)
+			continue;
+		if (rpc_conn_send(p->conn, TM_REPLICA_HOLDS,
+			(xdrproc_t)xdr_tm_replica_holds, &m.msg) == 0)
+			p->told = true;
+	}
+	ps->holds_hash = hash;
+}
+
+static void
+tell_load(struct peers *ps)
+{
+	const struct replica_state *s = steering_state(ps->sidecar->steering);
+	int64_t now = clock_now(ps->sidecar->process.clock);
+	struct tm_replica_load load;
+	struct peer *p;
+
+	if (s == NULL || now - ps->load_us < LOAD_PAUSE_US)
+		return;
+	load.queued = s->queued;
+	load.active = s->active;
+	load.kv_used = s->kv_used;
+	if (load.queued == ps->load.queued && load.active == ps->load.active &&
+	    load.kv_used == ps->load.kv_used)
+		return;
+	ps->load = load;
+	ps->load_us = now;
+	TAILQ_FOREACH(p, &ps->list, link)
+		(void)rpc_conn_send(p->conn, TM_REPLICA_LOAD,
+		    (xdrproc_t)xdr_tm_replica_load, &load);
+}
+
+void
+peers_tell(struct peers *ps)
+{
+	if (TAILQ_EMPTY(&ps->list))
+		return;
+	tell_holds(ps);
+	tell_load(ps);
+}
+
+static uint64_t
+own_version(const struct peers *ps)
+{
+	const struct deployment *d = ps->sidecar->deployment;
+
+	return d == NULL ? 0 : d->version;
+}
+
+static void
+relay_deployment(struct peers *ps, struct peer *p)
+{
+	struct sidecar *sc = ps->sidecar;
+	struct tm_deployment_doc doc = {
+		.ver = own_version(ps),
+		.doc.doc_val = sc->deployment_doc,
+		.doc.doc_len = (u_int)sc->deployment_len,
+	};
+
+	if (p->version >= doc.ver || sc->deployment_len > TM_BODY_MAX)
+		return;
+	log_info(sc->process.logger, "deployment passed on",
+	    LF_I("version", doc.ver), LF_I("peer_version", p->version));
+	if (rpc_conn_send(p->conn, TM_DEPLOYMENT,
+		(xdrproc_t)xdr_tm_deployment_doc, &doc) == 0)
+		p->version = doc.ver;
+}
+
+void
+peers_tick(struct peers *ps)
+{
+	int64_t now = clock_now(ps->sidecar->process.clock);
+	struct peer *p;
+
+	if (own_version(ps) != ps->deployment_version) {
+		ps->deployment_version = own_version(ps);
+		ps->deployment_since_us = now;
+		return;
+	}
+	if (now - ps->deployment_since_us < RELAY_AFTER_US)
+		return;
+	TAILQ_FOREACH(p, &ps->list, link)
+		relay_deployment(ps, p);
+}
+
+/* ---- connections ---- */
+
+static void
+fill_versions(void *ctx, struct rpc_versions *v)
+{
+	v->config = own_version(ctx);
+	v->control = 0;
+}
+
+static void
+seen_versions(void *ctx, struct rpc_conn *conn, const struct rpc_versions *v)
+{
+	struct peer *p = rpc_conn_owner(conn);
+
+	if (p != NULL)
+		p->version = v->config;
+}
+
+static void
+on_closed(void *ctx, struct rpc_conn *conn)
+{
+	struct peers *ps = ctx;
+	struct peer *p = rpc_conn_owner(conn);
+
+	if (p == NULL)
+		return;
+	TAILQ_REMOVE(&ps->list, p, link);
+	ps->count--;
+	/* Its requests ended with it, or will soon. */
+	for (unsigned i = 0; i < p->use_count; i++) {
+		struct tm_model_use use = {
+			.model = p->uses[i].model,
+			.adapter = p->uses[i].adapter,
+		};
+
+		steering_use(ps->sidecar->steering, &use,
+		    in_flight_of_all(ps, use.model, use.adapter));
+	}
+	log_info(ps->sidecar->process.logger, "gateway lost",
+	    LF_I("gateways", ps->count));
+	free(p);
+}
+
+struct peers *
+peers_create(struct sidecar *sc)
+{
+	struct peers *ps = calloc(1, sizeof(*ps));
+	struct rpc_options opts = {
+		.base = sc->process.base,
+		.logger = sc->process.logger,
+		.metrics = sc->process.metrics,
+		.program = TM_PROG,
+		.version = TM_V1,
+		.handlers = handlers,
+		.max_record = MAX_RECORD,
+		.max_output = MAX_OUTPUT,
+		.stall_us = STALL_US,
+		.dead_peer_us = DEAD_PEER_US,
+		.fill_versions = fill_versions,
+		.seen_versions = seen_versions,
+		.closed = on_closed,
+	};
+
+	if (ps == NULL)
+		return NULL;
+	ps->sidecar = sc;
+	TAILQ_INIT(&ps->list);
+	opts.ctx = ps;
+	ps->rpc = rpc_create(&opts);
+	if (ps->rpc == NULL || rpc_listen(ps->rpc, sc->settings.listen) == -1) {
+		peers_destroy(ps);
+		return NULL;
+	}
+	return ps;
+}
+
+void
+peers_destroy(struct peers *ps)
+{
+	if (ps == NULL)
+		return;
+	if (ps->rpc != NULL)
+		rpc_destroy(ps->rpc);
+	free(ps);
+}
--- /dev/null
+++ b/src/sidecar/sidecar.c
@@ -0,0 +1,289 @@
+#include "sidecar/sidecar.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "common/clock.h"
+#include "common/daemon_args.h"
+#include "common/log.h"
+#include "common/metrics.h"
+#include "common/options.h"
+#include "common/reload.h"
+#include "coordination/keyed_feed.h"
+#include "sidecar/peers.h"
+#include "sidecar/sidecar_internal.h"
+#include "sidecar/steering.h"
+#include "state/deployment.h"
+#include "transport/http_server.h"
+
+#define TICK_US (100 * USEC_PER_MSEC)
+#define LONG_POLL_US (25 * USEC_PER_SEC)
+
+#define AT(field) offsetof(struct sidecar_settings, field)
+
+static const struct option_desc options[] = {
+	{ "daemon", "vm", OPT_STRING, AT(vm), 0, 0, NULL, NULL,
+	    "name of this VM", false },
+	{ "daemon", "zone", OPT_STRING, AT(zone), 0, 0, NULL, NULL,
+	    "data centre of this VM", false },
+	{ "daemon", "log_level", OPT_LEVELS, AT(log_level), 0, 0, "info", NULL,
+	    "least level written, and by area", true },
+	{ "rpc", "listen", OPT_ADDR, AT(listen), 0, 0, NULL, NULL,
+	    "address for gateways", false },
+	{ "http", "metrics", OPT_ADDR, AT(metrics_listen), 0, 0, "", NULL,
+	    "address of /metrics; empty: none", false },
+	{ "store", "address", OPT_ADDR, AT(store), 0, 0, NULL, NULL,
+	    "address of the platform's store", false },
+	{ "store", "timeout_ms", OPT_INT, AT(store_timeout_ms), 10, 60000,
+	    "2000", "ms", "longest wait for an answer of the store", false },
+	{ "replica", "address", OPT_ADDR, AT(replica), 0, 0, NULL, NULL,
+	    "address of the replica beside this daemon", false },
+	{ "replica", "service", OPT_STRING, AT(service), 0, 0, NULL, NULL,
+	    "service that the replica runs", false },
+	{ "replica", "poll_ms", OPT_INT, AT(poll_ms), 5, 60000, "100", "ms",
+	    "pause between two reports of the replica", true },
+	{ "replica", "busy_poll_ms", OPT_INT, AT(busy_poll_ms), 1, 60000, "10",
+	    "ms", "likewise while requests wait for an order", true },
+	{ "replica", "min_keep_ms", OPT_INT, AT(min_keep_ms), 0, 3600000, "500",
+	    "ms", "a model is kept at least so long after its use", true },
+	{ "replica", "store_load_gap_ms", OPT_INT, AT(store_load_gap_ms), 0,
+	    3600000, "9000", "ms",
+	    "pause between two loads from the weight store", true },
+	OPTION_END,
+};
+
+void
+sidecar_take_deployment(
+    struct sidecar *sc, const void *doc, size_t len, const char *from)
+{
+	struct fleet_error err;
+	struct deployment *d = sc->adapter->decode_deployment(doc, len, &err);
+	void *copy;
+
+	if (d == NULL) {
+		log_error(sc->process.logger, "deployment cannot be read",
+		    LF_S("from", from), LF_S("why", err.text),
+		    LF_I("bytes", len));
+		return;
+	}
+	if (sc->deployment != NULL && d->version <= sc->deployment->version) {
+		deployment_unref(d);
+		return;
+	}
+	copy = malloc(len);
+	if (copy == NULL)
+		abort();
+	memcpy(copy, doc, len);
+	free(sc->deployment_doc);
+	sc->deployment_doc = copy;
+	sc->deployment_len = len;
+	log_info(sc->process.logger, "deployment in force", LF_S("from", from),
+	    LF_I("version", d->version));
+	deployment_unref(sc->deployment);
+	sc->deployment = d;
+}
+
+const struct engine_spec *
+sidecar_engine(const struct sidecar *sc)
+{
+	const struct service_spec *s =
+	    sc->deployment == NULL
+		? NULL
+		: deployment_service(sc->deployment, sc->settings.service);
+
+	return s == NULL || !s->has_engine ? NULL : &s->engine;
+}
+
+static void
+on_deployment_record(void *ctx, const struct fleet_record *record)
+{
+	struct sidecar *sc = ctx;
+	const char *key = sc->adapter->deployment_key;
+
+	if (record->key_len == strlen(key) &&
+	    memcmp(record->key, key, record->key_len) == 0 && record->len > 0)
+		sidecar_take_deployment(
+		    sc, record->value, record->len, "store");
+}
+
+static void
+ignore_snapshot(void *ctx)
+{
+}
+
+/* ---- life ---- */
+
+static void
+on_metrics(void *ctx, struct evhttp_request *req)
+{
+	struct sidecar *sc = ctx;
+	struct evbuffer *out = evbuffer_new();
+
+	if (out == NULL)
+		abort();
+	metrics_render(sc->process.metrics, out);
+	http_reply(req, 200, "text/plain", evbuffer_pullup(out, -1),
+	    evbuffer_get_length(out));
+	evbuffer_free(out);
+}
+
+static void
+on_refuse(void *ctx, struct evhttp_request *req, int status)
+{
+	http_reply(req, status, "text/plain", "", 0);
+}
+
+static const struct http_route metrics_routes[] = {
+	{ "/metrics", EVHTTP_REQ_GET, on_metrics },
+	{ 0 },
+};
+
+static int
+serve_metrics(struct sidecar *sc)
+{
+	struct http_server_options opts = {
+		.base = sc->process.base,
+		.routes = metrics_routes,
+		.ctx = sc,
+		.metrics = sc->process.metrics,
+		.refuse = on_refuse,
+	};
+
+	if (sc->settings.metrics_listen[0] == '\0')
+		return 0;
+	sc->metrics_http = http_server_create(&opts);
+	if (sc->metrics_http == NULL)
+		return -1;
+	return http_server_listen(
+	    sc->metrics_http, sc->settings.metrics_listen);
+}
+
+/* Nothing here outlasts the process: the replica keeps what it holds. */
+static void
+on_stop(void *ctx)
+{
+	struct sidecar *sc = ctx;
+
+	sc->stop_us = clock_now(sc->process.clock);
+	log_info(sc->process.logger, "stopping");
+	event_base_loopexit(sc->process.base, NULL);
+}
+
+static void
+on_reload(void *ctx)
+{
+	struct sidecar *sc = ctx;
+	const struct settings_file file = { sc->path, options, &sc->settings,
+		sizeof(sc->settings), NULL };
+
+	if (settings_reload(&file, sc->process.logger) == 0)
+		(void)logger_set_levels(
+		    sc->process.logger, sc->settings.log_level);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct sidecar *sc = arg;
+
+	process_timer_add(sc->tick, TICK_US);
+	peers_tick(sc->peers);
+}
+
+static int
+create_parts(struct sidecar *sc)
+{
+	struct fleet_store_options store = {
+		.base = sc->process.base,
+		.address = sc->settings.store,
+		.timeout_us = sc->settings.store_timeout_ms * USEC_PER_MSEC,
+	};
+	struct keyed_feed_options feed = {
+		.process = &sc->process,
+		.ops = sc->adapter->store,
+		.topic = FLEET_DEPLOYMENT,
+		.name = "deployment",
+		.wait_us = LONG_POLL_US,
+		.record = on_deployment_record,
+		.snapshot_begin = ignore_snapshot,
+		.snapshot_end = ignore_snapshot,
+		.ctx = sc,
+	};
+
+	sc->replica = sc->adapter->replica->create(
+	    sc->process.base, sc->settings.replica);
+	sc->store = sc->adapter->store->create(&store);
+	if (sc->replica == NULL || sc->store == NULL)
+		return -1;
+	sc->peers = peers_create(sc);
+	sc->steering = steering_create(sc);
+	if (sc->peers == NULL || sc->steering == NULL ||
+	    serve_metrics(sc) == -1)
+		return -1;
+	feed.store = sc->store;
+	sc->deployment_feed = keyed_feed_create(&feed);
+	return sc->deployment_feed == NULL ? -1 : 0;
+}
+
+static int
+run(struct sidecar *sc)
+{
+	struct process_options process = {
+		.name = "sidecar",
+		.log_levels = sc->settings.log_level,
+		.stop = on_stop,
+		.reload = on_reload,
+		.ctx = sc,
+	};
+	int rc = 1;
+
+	if (process_open(&sc->process, &process) == -1)
+		return 1;
+	if (create_parts(sc) == -1) {
+		log_error(sc->process.logger, "cannot start",
+		    LF_S("why", "bad or used address"));
+		goto out;
+	}
+	sc->tick = process_timer(&sc->process, on_tick, sc);
+	process_timer_add(sc->tick, TICK_US);
+	log_info(sc->process.logger, "started", LF_S("vm", sc->settings.vm),
+	    LF_S("replica", sc->settings.replica), LF_S("version", TM_VERSION));
+	rc = event_base_dispatch(sc->process.base) == -1 ? 1 : 0;
+
+out:
+	keyed_feed_destroy(sc->deployment_feed);
+	sc->adapter->store->destroy(sc->store);
+	sc->adapter->replica->destroy(sc->replica);
+	peers_destroy(sc->peers);
+	steering_destroy(sc->steering);
+	http_server_destroy(sc->metrics_http);
+	deployment_unref(sc->deployment);
+	free(sc->deployment_doc);
+	if (sc->tick != NULL)
+		event_free(sc->tick);
+	process_close(&sc->process);
+	return rc;
+}
+
+int
+sidecar_main(int argc, char **argv, const struct fleet_adapter *adapter)
+{
+	struct sidecar *sc = calloc(1, sizeof(*sc));
+	int rc;
+
+	if (sc == NULL)
+		return 1;
+	sc->adapter = adapter;
+	rc = daemon_args_load(argc, argv,
+	    "Orders the replica beside it, and tells gateways what it holds.",
+	    options, &sc->settings, NULL, &sc->path);
+	if (rc == -1)
+		rc = run(sc);
+	options_free(options, &sc->settings);
+	free(sc);
+	return rc;
+}
--- /dev/null
+++ b/src/sidecar/sidecar_internal.h
@@ -0,0 +1,61 @@
+/* sidecar_internal -- state that the sidecar's files share. */
+#ifndef SIDECAR_SIDECAR_INTERNAL_H
+#define SIDECAR_SIDECAR_INTERNAL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <bsd/sys/queue.h>
+
+#include "common/process.h"
+#include "protocol/fleet.h"
+
+struct deployment;
+struct engine_spec;
+struct http_server;
+struct keyed_feed;
+struct peers;
+struct steering;
+
+struct sidecar_settings {
+	char *vm;
+	char *zone;
+	char *log_level;
+	char *listen; /* RPC */
+	char *metrics_listen;
+	char *store;
+	int64_t store_timeout_ms;
+	char *replica;
+	char *service;
+	int64_t poll_ms;
+	int64_t busy_poll_ms;
+	int64_t min_keep_ms;
+	int64_t store_load_gap_ms;
+};
+
+struct sidecar {
+	struct sidecar_settings settings;
+	const char *path;
+	const struct fleet_adapter *adapter;
+	struct process process;
+	void *store;
+	void *replica;
+	struct keyed_feed *deployment_feed;
+	struct deployment *deployment;
+	void *deployment_doc;
+	size_t deployment_len;
+	struct http_server *metrics_http;
+	struct peers *peers; /* connected gateways */
+	struct steering *steering; /* what the replica holds and is ordered */
+	struct event *tick;
+	int64_t stop_us;
+};
+
+void sidecar_take_deployment(
+    struct sidecar *, const void *doc, size_t len, const char *from);
+
+/* NULL until a deployment declares the replica's service. */
+const struct engine_spec *sidecar_engine(const struct sidecar *);
+
+#endif
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <bsd/sys/queue.h>
@@ -16,11 +14,11 @@
 #include <http_parser.h>
 
 #include "common/addr.h"
+#include "transport/socket.h"
 #include "transport/tls.h"
 
 #define HEADER_NAME_MAX 256
 #define HEADER_VALUE_MAX 16384
-#define DEAD_PEER_PROBES 2 /* unanswered probes that end a connection */
 /* Leaves a kept connection before the server's own time-out closes it. */
 #define KEEP_ALIVE_MARGIN_US 1000000
 
@@ -436,23 +434,11 @@
 on_connected(struct conn *c)
 {
 	int fd = bufferevent_getfd(c->bev);
-	unsigned dead_ms = (unsigned)(c->client->opts.dead_peer_us / 1000);
-	int one = 1, probes = DEAD_PEER_PROBES;
-	int gap_s = (int)(dead_ms / 1000 / (DEAD_PEER_PROBES + 1));
 
 	c->connected = true;
 	event_del(c->timer);
 	tls_set_nodelay(fd);
-	if (dead_ms == 0)
-		return;
-	if (gap_s < 1)
-		gap_s = 1;
-	(void)setsockopt(
-	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &dead_ms, sizeof(dead_ms));
-	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &gap_s, sizeof(gap_s));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &gap_s, sizeof(gap_s));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	socket_set_dead_peer(fd, c->client->opts.dead_peer_us);
 }
 
 static void
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -29,7 +29,7 @@
 	int64_t connect_timeout_us; /* 0: that of the call */
 	/* Closes a kept connection so long after its last use; 0: never. */
 	int64_t idle_timeout_us;
-	/* TCP_USER_TIMEOUT, and probes on a silent connection; 0: none. */
+	/* Ends a connection so long after its peer fell silent; 0: never. */
 	int64_t dead_peer_us;
 	const struct tls *tls; /* NULL: plain text */
 };
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -181,6 +181,7 @@
 		return NULL;
 	}
 	evhttp_set_allowed_methods(server->evhttp, ALL_METHODS);
+	evhttp_set_default_content_type(server->evhttp, NULL);
 	evhttp_set_gencb(server->evhttp, on_request, server);
 	evhttp_set_bevcb(server->evhttp, make_bufferevent, server);
 	if (opts->max_body != 0)
--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -16,6 +16,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "transport/socket.h"
 #include "transport/tls.h"
 
 #define FRAGMENT_HEADER_SIZE 4
@@ -628,6 +629,8 @@
 	if (what & BEV_EVENT_CONNECTED) {
 		conn->open = true;
 		tls_set_nodelay(bufferevent_getfd(bev));
+		socket_set_dead_peer(
+		    bufferevent_getfd(bev), conn->rpc->opts.dead_peer_us);
 		if (conn->opened != NULL)
 			conn->opened(conn->opened_ctx, conn, true);
 		return;
@@ -795,6 +798,7 @@
 	conn->open = true;
 	conn->incoming = true;
 	rpc->accepted++;
+	socket_set_dead_peer(fd, rpc->opts.dead_peer_us);
 	/* The side that connects speaks first. */
 	if (rpc->opts.stall_us > 0)
 		event_add(conn->stall, &tv);
--- a/src/transport/rpc.h
+++ b/src/transport/rpc.h
@@ -67,6 +67,8 @@
 	 * connection was accepted, and for queued bytes to move; 0: no bound.
 	 */
 	int64_t stall_us;
+	/* Ends a connection so long after its peer fell silent; 0: never. */
+	int64_t dead_peer_us;
 	const struct tls *tls; /* NULL: plain text */
 	void (*fill_versions)(void *ctx, struct rpc_versions *);
 	void (*seen_versions)(
