gateway: stop without cutting requests; arriving adapters take places

Orders during a load were refused by the thousand: the replica takes none while it is busy.

Kept connections now close once balancers send no new ones, later requests are refused as not run, and what has no answer near the end gets one.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -336,8 +336,10 @@
 		return 0;
 	if (b->conn == NULL || spec == NULL)
 		return SELECT_LOAD_NEVER; /* nobody there gives orders */
-	if (m != NULL)
-		return extra;
+	if (m != NULL) /* one order at a time */
+		return extra + (b->loading_until_us > now_us
+				       ? b->loading_until_us - now_us
+				       : 0);
 	if (strcmp(b->loading, model) == 0)
 		return (b->loading_until_us > now_us
 			       ? b->loading_until_us - now_us
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <xxhash.h>
 
@@ -34,6 +35,12 @@
 /* Kept for the way of the answer back to the caller. */
 #define DEADLINE_MARGIN_US (10 * USEC_PER_MSEC)
 
+/*
+ * A stopping gateway takes requests while balancers still send new connections;
+ * later ones could be cut by its end.
+ */
+#define STOP_TAKES_US (2900 * USEC_PER_MSEC)
+
 /* ---- ends ---- */
 
 static void
@@ -158,19 +165,23 @@
 	exchange_free(x);
 }
 
+/* Answers without a replica's answer. */
 static void
-on_deadline(evutil_socket_t fd, short what, void *arg)
+give_up(struct exchange *x, enum result refused, const char *why)
 {
-	struct exchange *x = arg;
-
 	if (x->call != NULL)
 		x->may_have_run = true;
 	exchange_drop_call(x);
 	if (x->may_have_run || x->begun)
-		exchange_fail(x, RESULT_DEADLINE_PASSED, "deadline passed");
+		exchange_fail(x, RESULT_DEADLINE_PASSED, why);
 	else
-		exchange_refuse(x, RESULT_DEADLINE_UNREACHABLE,
-		    "deadline passed while waiting", 0);
+		exchange_refuse(x, refused, why, 0);
+}
+
+static void
+on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	give_up(arg, RESULT_DEADLINE_UNREACHABLE, "deadline passed");
 }
 
 /* ---- choosing ---- */
@@ -338,6 +349,33 @@
 	}
 }
 
+bool
+exchanges_busy(const struct gateway *g, int fd)
+{
+	const struct exchange *x;
+
+	TAILQ_FOREACH(x, &g->exchanges, link) {
+		struct evhttp_request *req = caller_request(x->caller);
+
+		if (req != NULL &&
+		    bufferevent_getfd(evhttp_connection_get_bufferevent(
+			evhttp_request_get_connection(req))) == fd)
+			return true;
+	}
+	return false;
+}
+
+void
+exchanges_end(struct gateway *g)
+{
+	struct exchange *x, *next;
+
+	TAILQ_FOREACH_SAFE(x, &g->exchanges, link, next) {
+		if (!x->begun)
+			give_up(x, RESULT_LEAVING, "process ends");
+	}
+}
+
 void
 exchanges_abort(struct gateway *g)
 {
@@ -501,6 +539,11 @@
 		refuse_early(g, req, RESULT_BAD_REQUEST, fault);
 		return;
 	}
+	if (g->stop_us != 0 &&
+	    clock_now(g->process.clock) - g->stop_us > STOP_TAKES_US) {
+		refuse_early(g, req, RESULT_LEAVING, "stopping");
+		return;
+	}
 	if (g->deployment == NULL) {
 		refuse_early(g, req, RESULT_NOT_READY, "no deployment yet");
 		return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,6 +8,8 @@
 #ifndef GATEWAY_EXCHANGE_H
 #define GATEWAY_EXCHANGE_H
 
+#include <stdbool.h>
+
 struct evhttp_request;
 struct gateway;
 
@@ -17,6 +19,12 @@
 /* Replicas changed: looks at the waiting requests again. */
 void exchanges_review(struct gateway *);
 
+/* Whether a request that came on this descriptor has no whole answer yet. */
+bool exchanges_busy(const struct gateway *, int fd);
+
+/* The process ends soon: answers what has no answer yet. */
+void exchanges_end(struct gateway *);
+
 /* Breaks all exchanges off, at the end of the process. */
 void exchanges_abort(struct gateway *);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -37,6 +37,9 @@
 #define RETRY_TARGETS 256
 /* Probes that balancers miss before they send no new connection. */
 #define STOP_MIN_US (3 * USEC_PER_SEC)
+/* Kept for the last answers to leave before the drain time is over. */
+#define STOP_ANSWER_US (500 * USEC_PER_MSEC)
+#define STOP_CLOSE_US (2500 * USEC_PER_MSEC) /* kept connections end then */
 #define ALL_METHODS 0xffff
 
 #define AT(field) offsetof(struct gateway_settings, field)
@@ -251,11 +254,21 @@
 		    g->process.logger, g->settings.log_level);
 }
 
+static bool
+is_busy(void *ctx, evutil_socket_t fd)
+{
+	return exchanges_busy(ctx, fd);
+}
+
 static void
 check_stopped(struct gateway *g)
 {
 	int64_t since = clock_now(g->process.clock) - g->stop_us;
 
+	if (since >= STOP_CLOSE_US)
+		http_server_close_idle(g->front, is_busy, g);
+	if (since >= g->settings.drain_ms * USEC_PER_MSEC - STOP_ANSWER_US)
+		exchanges_end(g);
 	if (since < STOP_MIN_US)
 		return;
 	if (g->open > 0 &&
--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -33,6 +33,9 @@
 	uint32_t version;
 	unsigned adapter_count;
 	char adapters[FLEET_ADAPTERS_MAX][FLEET_NAME_MAX];
+	/* On their way: they take their places, and cannot run yet. */
+	unsigned arriving_count;
+	char arriving[FLEET_ADAPTERS_MAX][FLEET_NAME_MAX];
 };
 
 struct weight_copies {
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -19,6 +19,9 @@
 
 #define REPORT_TIMEOUT_US (1 * USEC_PER_SEC)
 #define ORDER_TIMEOUT_US (1 * USEC_PER_SEC)
+/* Between orders that are not taken: an unseen one may be under way. */
+#define PAUSE_FIRST_US (50 * USEC_PER_MSEC)
+#define PAUSE_MAX_US (1 * USEC_PER_SEC)
 #define WANTS_MAX 128
 #define FENCE 1 /* one holder only: this machine, whatever process runs */
 #define KEY_SIZE (2 * FLEET_NAME_MAX + 2)
@@ -56,6 +59,8 @@
 	char order_adapter[FLEET_NAME_MAX];
 	int64_t last_store_load_us;
 	bool order_from_store;
+	int64_t pause_us; /* after an order that was not taken */
+	int64_t pause_until_us;
 	uint64_t *orders;
 	uint64_t *store_loads;
 };
@@ -183,7 +188,7 @@
 struct swap_view {
 	struct swap_input in;
 	struct swap_model models[FLEET_MODELS_MAX];
-	struct swap_adapter adapters[FLEET_MODELS_MAX][FLEET_ADAPTERS_MAX];
+	struct swap_adapter adapters[FLEET_MODELS_MAX][2 * FLEET_ADAPTERS_MAX];
 	struct swap_want wants[WANTS_MAX];
 };
 
@@ -201,7 +206,7 @@
 	out->last_use_us = use->last_us;
 	out->in_flight = use->in_flight;
 	out->adapters = adapters;
-	out->adapter_count = held->adapter_count;
+	out->adapter_count = held->adapter_count + held->arriving_count;
 	for (unsigned i = 0; i < held->adapter_count; i++) {
 		use = get_use(s, held->name, held->adapters[i]);
 		adapters[i].name = held->adapters[i];
@@ -211,6 +216,10 @@
 		if (use->last_us > out->last_use_us)
 			out->last_use_us = use->last_us;
 	}
+	for (unsigned i = 0; i < held->arriving_count; i++) {
+		adapters[held->adapter_count + i].name = held->arriving[i];
+		adapters[held->adapter_count + i].arriving = true;
+	}
 }
 
 static bool
@@ -337,6 +346,13 @@
 		s->loading_until_us = now + load_time_us(s, s->order_model);
 		strlcpy(s->loading, s->order_model, sizeof(s->loading));
 	}
+	if (result == ORDER_STARTED || result == ORDER_HOLDS_ALREADY) {
+		s->pause_us = PAUSE_FIRST_US;
+	} else {
+		s->pause_until_us = now + s->pause_us;
+		s->pause_us = s->pause_us * 2 < PAUSE_MAX_US ? s->pause_us * 2
+							     : PAUSE_MAX_US;
+	}
 	poll_soon(s);
 }
 
@@ -378,17 +394,17 @@
 	static struct swap_view v;
 	struct swap_step step;
 
-	if (s->ordering || !s->known || s->sidecar->stop_us != 0)
-		return;
 	drop_wants(s);
+	/* The replica refuses any order while it carries one out. */
+	if (s->ordering || !s->known || s->state.busy ||
+	    s->sidecar->stop_us != 0 ||
+	    clock_now(s->sidecar->process.clock) < s->pause_until_us)
+		return;
 	if (make_view(s, &v) == -1)
 		return;
 	step = swap_next(&v.in);
 	if (step.op == SWAP_NONE)
 		return;
-	/* Only adapters are ordered while a model loads or unloads. */
-	if (s->state.busy && (step.adapter == NULL || step.op == SWAP_UNLOAD))
-		return;
 	send_order(s, &step);
 }
 
@@ -453,6 +469,7 @@
 	if (s == NULL)
 		return NULL;
 	s->sidecar = sc;
+	s->pause_us = PAUSE_FIRST_US;
 	s->orders =
 	    metrics_counter(sc->process.metrics, "sidecar_orders_total", "");
 	s->store_loads = metrics_counter(
--- a/src/transport/http_conns.c
+++ b/src/transport/http_conns.c
@@ -185,6 +185,18 @@
 		conn->served = true;
 }
 
+void
+http_conns_close_idle(struct http_conns *c,
+    bool (*busy)(void *ctx, evutil_socket_t fd), void *ctx)
+{
+	struct conn *conn, *next;
+
+	HASH_ITER(hh, c->conns, conn, next) {
+		if (is_open(conn) && !busy(ctx, conn->fd))
+			(void)shutdown(conn->fd, SHUT_RD);
+	}
+}
+
 struct http_conns *
 http_conns_create(const struct http_conns_options *opts)
 {
--- a/src/transport/http_conns.h
+++ b/src/transport/http_conns.h
@@ -42,4 +42,11 @@
 /* Notes that a whole request came; it may now stay idle. */
 void http_conns_served(struct http_conns *, evutil_socket_t fd);
 
+/*
+ * Has evhttp close the connections that are not busy: it reads their end.  An
+ * answer that is still being written leaves whole.
+ */
+void http_conns_close_idle(struct http_conns *,
+    bool (*busy)(void *ctx, evutil_socket_t fd), void *ctx);
+
 #endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -231,6 +231,13 @@
 	server->bound = NULL;
 }
 
+void
+http_server_close_idle(struct http_server *server,
+    bool (*busy)(void *, evutil_socket_t), void *ctx)
+{
+	http_conns_close_idle(server->conns, busy, ctx);
+}
+
 void
 http_reply(struct evhttp_request *req, int code, const char *content_type,
     const void *body, size_t len)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include <event2/http.h>
+#include <event2/util.h>
 
 struct event_base;
 struct evhttp_request;
@@ -48,6 +49,9 @@
 void http_server_destroy(struct http_server *);
 int http_server_listen(struct http_server *, const char *address);
 void http_server_stop_listening(struct http_server *);
+/* Closes kept connections; busy() tells those whose request is under way. */
+void http_server_close_idle(struct http_server *,
+    bool (*busy)(void *ctx, evutil_socket_t fd), void *ctx);
 
 /* Answers with a body of the given type. */
 void http_reply(struct evhttp_request *, int code, const char *content_type,
