--- /dev/null
+++ b/src/coordination/deployment_share.c
@@ -0,0 +1,193 @@
+#include "coordination/deployment_share.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "common/process.h"
+#include "protocol/tm_xdr.h"
+#include "state/deployment.h"
+#include "transport/rpc.h"
+
+/* A daemon that reads the store has a new deployment by then. */
+#define ASK_AFTER_US (400 * USEC_PER_MSEC)
+#define ASK_AGAIN_US (500 * USEC_PER_MSEC)
+
+struct deployment_share {
+	struct deployment_share_options opts;
+	struct deployment *deployment;
+	void *doc; /* as it came */
+	size_t len;
+	/* The newest version that a peer showed, and that peer: */
+	uint64_t seen;
+	struct rpc_conn *source;
+	int64_t behind_since_us;
+	int64_t asked_us;
+};
+
+struct deployment_share *
+deployment_share_create(const struct deployment_share_options *opts)
+{
+	struct deployment_share *s = calloc(1, sizeof(*s));
+
+	if (s != NULL)
+		s->opts = *opts;
+	return s;
+}
+
+void
+deployment_share_destroy(struct deployment_share *s)
+{
+	if (s == NULL)
+		return;
+	deployment_unref(s->deployment);
+	free(s->doc);
+	free(s);
+}
+
+struct deployment *
+deployment_share_get(const struct deployment_share *s)
+{
+	return s->deployment;
+}
+
+uint64_t
+deployment_share_version(const struct deployment_share *s)
+{
+	return s->deployment == NULL ? 0 : s->deployment->version;
+}
+
+static void
+keep_doc(struct deployment_share *s, const void *doc, size_t len)
+{
+	void *copy = malloc(len);
+
+	if (copy == NULL)
+		abort();
+	memcpy(copy, doc, len);
+	free(s->doc);
+	s->doc = copy;
+	s->len = len;
+}
+
+static void
+take(struct deployment_share *s, const void *doc, size_t len, const char *from)
+{
+	struct logger *logger = s->opts.process->logger;
+	struct fleet_error err;
+	struct deployment *d =
+	    s->opts.adapter->decode_deployment(doc, len, &err);
+
+	if (d == NULL) {
+		log_error(logger, "deployment cannot be read",
+		    LF_S("from", from), LF_S("why", err.text),
+		    LF_I("bytes", len));
+		return;
+	}
+	/* The store may show an older state after an outage. */
+	if (d->version <= deployment_share_version(s)) {
+		deployment_unref(d);
+		return;
+	}
+	keep_doc(s, doc, len);
+	log_info(logger, "deployment in force", LF_S("from", from),
+	    LF_I("version", d->version),
+	    LF_I("was", deployment_share_version(s)),
+	    LF_I("routes", d->route_count), LF_I("services", d->service_count));
+	deployment_unref(s->deployment);
+	s->deployment = d;
+	s->opts.changed(s->opts.ctx);
+}
+
+void
+deployment_share_record(void *share, const struct fleet_record *record)
+{
+	struct deployment_share *s = share;
+	const char *key = s->opts.adapter->deployment_key;
+
+	if (record->key_len == strlen(key) &&
+	    memcmp(record->key, key, record->key_len) == 0 && record->len > 0)
+		take(s, record->value, record->len, "store");
+}
+
+/* ---- between peers ---- */
+
+void
+deployment_share_fill(void *share, struct rpc_versions *v)
+{
+	v->config = deployment_share_version(share);
+	v->control = 0;
+}
+
+void
+deployment_share_seen(
+    void *share, struct rpc_conn *conn, const struct rpc_versions *v)
+{
+	struct deployment_share *s = share;
+	uint64_t own = deployment_share_version(s);
+
+	if (v->config <= own || v->config < s->seen)
+		return;
+	if (s->seen <= own)
+		s->behind_since_us = clock_now(s->opts.process->clock);
+	s->seen = v->config;
+	s->source = conn;
+}
+
+void
+deployment_share_closed(struct deployment_share *s, struct rpc_conn *conn)
+{
+	if (s->source == conn)
+		s->source = NULL;
+}
+
+void
+deployment_share_tick(struct deployment_share *s)
+{
+	int64_t now = clock_now(s->opts.process->clock);
+	struct tm_deployment_ask ask = { deployment_share_version(s) };
+
+	if (s->seen <= ask.have || s->source == NULL ||
+	    now - s->behind_since_us < ASK_AFTER_US ||
+	    now - s->asked_us < ASK_AGAIN_US)
+		return;
+	s->asked_us = now;
+	log_info(s->opts.process->logger, "deployment asked from a peer",
+	    LF_I("have", ask.have), LF_I("seen", s->seen));
+	(void)rpc_conn_send(s->source, TM_DEPLOYMENT_ASK,
+	    (xdrproc_t)xdr_tm_deployment_ask, &ask);
+}
+
+void
+deployment_share_on_ask(void *share, struct rpc_call *call, void *args)
+{
+	struct deployment_share *s = share;
+	const struct tm_deployment_ask *ask = args;
+	struct rpc_conn *conn = rpc_call_conn(call);
+	struct tm_deployment_doc doc = {
+		.ver = deployment_share_version(s),
+		.doc.doc_val = s->doc,
+		.doc.doc_len = (u_int)s->len,
+	};
+
+	if (conn == NULL || doc.ver <= ask->have)
+		return;
+	if (s->len > TM_BODY_MAX) {
+		log_error(s->opts.process->logger,
+		    "deployment is too large for peers", LF_I("bytes", s->len));
+		return;
+	}
+	log_info(s->opts.process->logger, "deployment passed on",
+	    LF_I("version", doc.ver), LF_I("peer_version", ask->have));
+	(void)rpc_conn_send(
+	    conn, TM_DEPLOYMENT, (xdrproc_t)xdr_tm_deployment_doc, &doc);
+}
+
+void
+deployment_share_on_doc(void *share, struct rpc_call *call, void *args)
+{
+	const struct tm_deployment_doc *told = args;
+
+	take(share, told->doc.doc_val, told->doc.doc_len, "peer");
+}
--- /dev/null
+++ b/src/coordination/read_gate.c
@@ -0,0 +1,242 @@
+#include "coordination/read_gate.h"
+
+#include <stdlib.h>
+
+#include <bsd/sys/queue.h>
+
+struct entry {
+	struct read_request req;
+	int64_t granted_us;
+	TAILQ_ENTRY(entry) link;
+};
+
+TAILQ_HEAD(entries, entry);
+
+struct read_gate {
+	struct read_gate_options opts;
+	struct entries waiting;
+	struct entries reading;
+	uint64_t waiting_tokens;
+	uint64_t batch_left; /* of the batch being let in */
+	bool closed; /* until all of the batch is read */
+};
+
+struct read_gate *
+read_gate_create(const struct read_gate_options *opts)
+{
+	struct read_gate *g = calloc(1, sizeof(*g));
+
+	if (g == NULL)
+		return NULL;
+	g->opts = *opts;
+	TAILQ_INIT(&g->waiting);
+	TAILQ_INIT(&g->reading);
+	g->batch_left = opts->batch_tokens;
+	return g;
+}
+
+static void
+drop_all(struct entries *list)
+{
+	struct entry *e;
+
+	while ((e = TAILQ_FIRST(list)) != NULL) {
+		TAILQ_REMOVE(list, e, link);
+		free(e);
+	}
+}
+
+void
+read_gate_destroy(struct read_gate *g)
+{
+	if (g == NULL)
+		return;
+	drop_all(&g->waiting);
+	drop_all(&g->reading);
+	free(g);
+}
+
+static int64_t
+read_us(const struct read_gate *g, uint64_t tokens)
+{
+	return (int64_t)((double)tokens * 1000 / g->opts.tokens_per_ms);
+}
+
+bool
+read_gate_ask(struct read_gate *g, const struct read_request *req, int64_t now)
+{
+	struct entry *e;
+
+	if (now + read_us(g, req->tokens) > req->deadline_us)
+		return false;
+	e = calloc(1, sizeof(*e));
+	if (e == NULL)
+		abort();
+	e->req = *req;
+	TAILQ_INSERT_TAIL(&g->waiting, e, link);
+	g->waiting_tokens += req->tokens;
+	return true;
+}
+
+static void
+remove_waiting(struct read_gate *g, struct entry *e)
+{
+	TAILQ_REMOVE(&g->waiting, e, link);
+	g->waiting_tokens -= e->req.tokens;
+}
+
+static void
+remove_reading(struct read_gate *g, struct entry *e)
+{
+	TAILQ_REMOVE(&g->reading, e, link);
+	free(e);
+	if (TAILQ_EMPTY(&g->reading)) {
+		g->batch_left = g->opts.batch_tokens;
+		g->closed = false;
+	}
+}
+
+static struct entry *
+find(struct entries *list, const void *owner, uint64_t id)
+{
+	struct entry *e;
+
+	TAILQ_FOREACH(e, list, link) {
+		if (e->req.owner == owner && e->req.id == id)
+			return e;
+	}
+	return NULL;
+}
+
+void *
+read_gate_done(struct read_gate *g, const void *owner, uint64_t id)
+{
+	struct entry *e = find(&g->reading, owner, id);
+	void *ctx;
+
+	if (e != NULL) {
+		remove_reading(g, e);
+		return NULL;
+	}
+	e = find(&g->waiting, owner, id);
+	if (e == NULL)
+		return NULL;
+	ctx = e->req.ctx;
+	remove_waiting(g, e);
+	free(e);
+	return ctx;
+}
+
+/* Its owner may have lost it: the replica has read it by now. */
+static void
+expire(struct read_gate *g, int64_t now)
+{
+	struct entry *e, *next;
+
+	TAILQ_FOREACH_SAFE(e, &g->reading, link, next) {
+		if (now - e->granted_us > g->opts.grant_us)
+			remove_reading(g, e);
+	}
+}
+
+/* What can still meet its goal goes first; then the earlier time. */
+static bool
+comes_before(const struct read_gate *g, const struct entry *a,
+    const struct entry *b, int64_t now)
+{
+	bool a_late = now + read_us(g, a->req.tokens) > a->req.goal_us;
+	bool b_late = now + read_us(g, b->req.tokens) > b->req.goal_us;
+
+	if (a_late != b_late)
+		return b_late;
+	if (a_late)
+		return a->req.deadline_us < b->req.deadline_us;
+	return a->req.goal_us < b->req.goal_us;
+}
+
+static struct entry *
+first_waiting(struct read_gate *g, int64_t now)
+{
+	struct entry *e, *first = NULL;
+
+	TAILQ_FOREACH(e, &g->waiting, link) {
+		if (first == NULL || comes_before(g, e, first, now))
+			first = e;
+	}
+	return first;
+}
+
+static struct entry *
+too_late(struct read_gate *g, int64_t now)
+{
+	struct entry *e;
+
+	TAILQ_FOREACH(e, &g->waiting, link) {
+		if (now + read_us(g, e->req.tokens) > e->req.deadline_us)
+			return e;
+	}
+	return NULL;
+}
+
+bool
+read_gate_next(
+    struct read_gate *g, int64_t now, struct read_request *req, bool *granted)
+{
+	struct entry *e = too_late(g, now);
+
+	expire(g, now);
+	if (e != NULL) {
+		*req = e->req;
+		*granted = false;
+		remove_waiting(g, e);
+		free(e);
+		return true;
+	}
+	e = first_waiting(g, now);
+	if (e == NULL || g->closed)
+		return false;
+	if (!TAILQ_EMPTY(&g->reading) && e->req.tokens > g->batch_left) {
+		g->closed = true;
+		return false;
+	}
+	remove_waiting(g, e);
+	g->batch_left -=
+	    e->req.tokens < g->batch_left ? e->req.tokens : g->batch_left;
+	g->closed = g->batch_left == 0;
+	e->granted_us = now;
+	TAILQ_INSERT_TAIL(&g->reading, e, link);
+	*req = e->req;
+	*granted = true;
+	return true;
+}
+
+bool
+read_gate_forget(
+    struct read_gate *g, const void *owner, struct read_request *req)
+{
+	struct entry *e;
+
+	TAILQ_FOREACH(e, &g->waiting, link) {
+		if (e->req.owner != owner)
+			continue;
+		*req = e->req;
+		remove_waiting(g, e);
+		free(e);
+		return true;
+	}
+	TAILQ_FOREACH(e, &g->reading, link) {
+		if (e->req.owner != owner)
+			continue;
+		*req = e->req;
+		req->ctx = NULL;
+		remove_reading(g, e);
+		return true;
+	}
+	return false;
+}
+
+uint64_t
+read_gate_waiting(const struct read_gate *g)
+{
+	return g->waiting_tokens;
+}
--- a/src/coordination/retry_budget.c
+++ b/src/coordination/retry_budget.c
@@ -33,6 +33,18 @@
 	return b;
 }
 
+void
+retry_budget_set_burst(struct retry_budget *b, double burst)
+{
+	struct bucket *bucket, *next;
+
+	b->opts.burst = burst;
+	HASH_ITER(hh, b->buckets, bucket, next) {
+		if (bucket->tokens > burst)
+			bucket->tokens = burst;
+	}
+}
+
 static void
 forget(struct retry_budget *b, struct bucket *bucket)
 {
@@ -65,7 +77,7 @@
 		bucket = calloc(1, sizeof(*bucket));
 		if (bucket == NULL || (bucket->target = strdup(target)) == NULL)
 			abort();
-		bucket->tokens = b->opts.burst;
+		bucket->tokens = b->opts.start;
 		if (HASH_COUNT(b->buckets) >= b->opts.max_targets)
 			forget(b, b->buckets);
 	}
--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -10,6 +10,12 @@
 #define STEP_SHARE_US 150 /* what each running request adds to a step */
 /* Traffic between data centres costs money and a round trip. */
 #define OTHER_ZONE_US 20000
+/* Mean wait behind the prompt that is being read, at a share of 1. */
+#define READING_US 250000
+/* Streams pause for too long where prompts are read most of the time. */
+#define SPREAD_SHARE 0.25
+/* Copies in the replica's memory or on its disk load within this time. */
+#define SPREAD_LOAD_US 1500000
 /* A full replica queues: about the time until a place falls free. */
 #define FULL_US 400000
 /* Memory that runs out preempts a request, which is read again. */
@@ -46,6 +52,7 @@
 		      (double)r->running * STEP_SHARE_US;
 	int64_t us = r->load_us + (int64_t)(work * q->pace * r->slowness);
 
+	us += (int64_t)(r->reading_share * READING_US);
 	if (r->slots > 0 && r->running >= r->slots)
 		us += FULL_US * (1 + (r->running - r->slots) / r->slots);
 	if (r->kv_free >= 0 &&
@@ -102,3 +109,32 @@
 
 	return best.index != -1 ? best : choose(q, replicas, count, true);
 }
+
+int
+select_spread(const struct select_query *q,
+    const struct select_replica *replicas, size_t count)
+{
+	int best = -1;
+	int64_t best_cost = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct select_replica *r = &replicas[i];
+		int64_t cost;
+
+		if (!r->usable || r->ejected || r->load_us == SELECT_LOAD_NEVER)
+			continue;
+		if (r->load_us == 0 && r->reading_share < SPREAD_SHARE)
+			return -1; /* one that holds it has time left */
+		if (r->load_us == 0 || r->load_us > SPREAD_LOAD_US ||
+		    r->victim_idle_us < VICTIM_WARM_US ||
+		    r->reading_share >= SPREAD_SHARE)
+			continue;
+		cost = r->load_us + side_cost_us(q, r) +
+		       (int64_t)(r->reading_share * READING_US);
+		if (best != -1 && cost >= best_cost)
+			continue;
+		best = (int)i;
+		best_cost = cost;
+	}
+	return best;
+}
--- a/src/coordination/selection.h
+++ b/src/coordination/selection.h
@@ -29,6 +29,7 @@
 	uint64_t pending_tokens; /* sent by this gateway, not read yet */
 	uint32_t cached_tokens; /* of this prompt's head */
 	int64_t kv_free; /* tokens; negative: unknown */
+	double reading_share; /* of its time, spent on prompts lately */
 	double slowness; /* measured over predicted; 1: as predicted */
 };
 
@@ -48,6 +49,13 @@
 struct select_choice select_replica(
     const struct select_query *, const struct select_replica *, size_t count);
 
+/*
+ * Where the model should be loaded besides, or -1: all replicas that hold it
+ * spend much of their time on prompts, and one that has a copy at hand is free.
+ */
+int select_spread(
+    const struct select_query *, const struct select_replica *, size_t count);
+
 /* Predicted time to read the rest of a prompt, alone, at pace 1. */
 int64_t select_prefill_us(uint32_t tokens);
 
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -33,6 +33,7 @@
 	struct retry_budget_options budget = {
 		.share = (double)entry->settings.retry_percent / 100,
 		.burst = (double)entry->settings.retry_burst,
+		.start = (double)entry->settings.retry_burst,
 		.max_targets = BUDGET_TARGETS_MAX,
 	};
 
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -16,8 +16,9 @@
 #include "transport/http_client.h"
 
 #define MAX_IDLE_CONNECTIONS 48 /* a burst's worth for one replica */
-#define CONNECT_TIMEOUT_US (400 * USEC_PER_MSEC) /* a round trip takes 10 ms   \
-						  */
+#define CONNECT_TIMEOUT_US                                                     \
+	(400 * USEC_PER_MSEC) /* a round trip takes 10 ms                      \
+			       */
 #define IDLE_TIMEOUT_US (10 * USEC_PER_SEC)
 #define DEAD_PEER_US (3 * USEC_PER_SEC)
 #define MAX_ANSWER (64 * 1024 * 1024) /* bytes */
@@ -359,3 +360,13 @@
 		us += b->loading_until_us - now_us;
 	return us + extra;
 }
+
+bool
+backend_has_room(const struct backend *b, const struct service_spec *service,
+    const char *model)
+{
+	const struct model_spec *spec =
+	    service->has_engine ? engine_model(&service->engine, model) : NULL;
+
+	return spec != NULL && b->free_mb >= spec->size_mb;
+}
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -18,6 +18,7 @@
 
 struct backends;
 struct engine_spec;
+struct service_spec;
 struct gateway;
 struct http_client;
 struct rpc_conn;
@@ -47,6 +48,8 @@
 	unsigned reported; /* running and queued at the report */
 	unsigned sent_since; /* by this gateway */
 	int64_t kv_used;
+	uint64_t gate_tokens; /* of prompts that wait at the sidecar */
+	double reading_share; /* of the time, lately */
 	char loading[FLEET_NAME_MAX];
 	int64_t loading_until_us;
 	double free_mb;
@@ -55,7 +58,6 @@
 	struct rpc_conn *conn;
 	bool connecting;
 	int64_t reconnect_us;
-	uint64_t peer_version; /* deployment that the sidecar has */
 	SLIST_HEAD(, backend_use) uses;
 	TAILQ_ENTRY(backend) link;
 };
@@ -82,6 +84,10 @@
 int64_t backend_load_us(const struct backend *, const struct engine_spec *,
     const char *model, const char *adapter, int64_t now_us);
 
+/* Whether the model fits there without evicting another. */
+bool backend_has_room(
+    const struct backend *, const struct service_spec *, const char *model);
+
 struct backend_use *backend_use(
     struct backend *, const char *model, const char *adapter);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -23,10 +23,13 @@
 #include "state/deployment.h"
 #include "transport/http_server.h"
 
-#define MAX_BACKLOG (4 * 1024 * 1024) /* bytes a slow caller may leave unread  \
-				       */
+#define MAX_BACKLOG                                                            \
+	(4 * 1024 * 1024) /* bytes a slow caller may leave unread              \
+			   */
 #define CANDIDATES_MAX 4096
 #define UNREACHABLE_MAX 4 /* connections that may fail for one request */
+#define SPREAD_PAUSE_US (300 * USEC_PER_MSEC) /* between two spreads */
+#define SPREAD_WANT_US (2 * USEC_PER_SEC) /* such a want lapses then */
 #define WANT_AGAIN_US (500 * USEC_PER_MSEC)
 /* Callers return after at most a third of the time they have left. */
 #define RETRY_AFTER_SHARE 0.33
@@ -74,7 +77,9 @@
 	    LF_I("code", code), LF_S("why", why), LF_I("attempts", x->attempts),
 	    LF_I("unreachable", x->unreachable),
 	    LF_I("may_have_run", x->may_have_run),
-	    LF_I("took_us", now - x->arrived_us),
+	    LF_I("took_us", now - x->arrived_us), LF_I("begun", x->begun),
+	    LF_I("first_us", x->first_us), LF_I("max_gap_us", x->max_gap_us),
+	    LF_I("predicted_us", x->predicted_us),
 	    LF_I("left_us", x->deadline_us - now),
 	    LF_I("retry_after_us", retry_after_us),
 	    LF_I("version", x->deployment->version));
@@ -231,10 +236,15 @@
 	r->running = b->in_flight;
 	if (b->has_report && b->reported + b->sent_since > r->running)
 		r->running = b->reported + b->sent_since;
-	r->pending_tokens = b->pending_tokens;
+	r->pending_tokens = b->pending_tokens > b->gate_tokens
+				? b->pending_tokens
+				: b->gate_tokens;
 	r->cached_tokens = cached_tokens(x, b);
+	r->reading_share = b->has_report ? b->reading_share : 0;
 	r->slowness = b->slowness;
-	r->victim_idle_us = b->victim_idle_us;
+	r->victim_idle_us = backend_has_room(b, service, x->terms.model)
+				? INT64_MAX
+				: b->victim_idle_us;
 	r->kv_free = b->has_report && b->entry.state.kv_total > 0
 			 ? b->entry.state.kv_total - b->kv_used
 			 : -1;
@@ -249,6 +259,31 @@
 	uint32_t new_tokens; /* of the prompt, to read there */
 };
 
+/* Has a busy model loaded on another replica, without waiting for it. */
+static void
+spread(struct exchange *x, const struct select_query *q,
+    const struct select_replica *candidates, struct backend **backends,
+    size_t count)
+{
+	struct gateway *g = x->gateway;
+	int64_t now = clock_now(g->process.clock);
+	struct backend *b;
+	int index;
+
+	if (now - g->spread_us < SPREAD_PAUSE_US)
+		return;
+	index = select_spread(q, candidates, count);
+	if (index == -1)
+		return;
+	b = backends[index];
+	g->spread_us = now;
+	log_info(g->process.logger, "model spread", LF_S("model", q->model),
+	    LF_S("replica", b->entry.id),
+	    LF_I("load_us", candidates[index].load_us));
+	sidecar_links_want(
+	    g->links, b, &x->terms, x->route->rank, SPREAD_WANT_US);
+}
+
 static struct choice
 choose(struct exchange *x, const struct service_spec *service)
 {
@@ -276,6 +311,8 @@
 		backends[count++] = b;
 	}
 	choice.made = select_replica(&q, candidates, count);
+	if (service->has_engine)
+		spread(x, &q, candidates, backends, count);
 	if (choice.made.index == -1)
 		return choice;
 	choice.backend = backends[choice.made.index];
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -41,10 +41,15 @@
 	/* The call under way: */
 	struct backend *backend; /* NULL: none */
 	struct http_call *call;
+	struct rpc_conn *read_conn; /* leave to read is asked there */
+	uint64_t read_id; /* of that leave, until it is given back; 0: none */
 	int64_t sent_us;
 	int64_t predicted_us; /* time to the first piece */
 	uint32_t pending_tokens; /* counted at the backend */
 	int code; /* of its answer; 0: none yet */
+	int64_t first_us; /* time to the caller's first piece; 0: none */
+	int64_t last_piece_us; /* when the newest piece came */
+	int64_t max_gap_us; /* longest pause between pieces */
 	struct evkeyvalq headers; /* of its answer */
 	struct answer_facts facts;
 
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -14,14 +14,18 @@
 #include "coordination/selection.h"
 #include "gateway/backends.h"
 #include "gateway/exchange_internal.h"
+#include "gateway/sidecar_links.h"
 #include "protocol/caller.h"
 #include "protocol/event_stream.h"
+#include "protocol/tm_xdr.h"
 #include "state/deployment.h"
 #include "transport/http_server.h"
 
 #define HEADERS_MAX 96
 /* Less time than this left is no use to a replica. */
 #define SEND_MIN_US (5 * USEC_PER_MSEC)
+/* Shorter prompts do not hold streams up. */
+#define READ_ASK_TOKENS 1500
 #define SLOWNESS_WEIGHT 0.15 /* of the newest first piece */
 #define SLOWNESS_MIN 0.5
 #define SLOWNESS_MAX 8.0
@@ -98,6 +102,12 @@
 static void
 settle_pending(struct exchange *x)
 {
+	if (x->read_conn != NULL)
+		rpc_conn_forget(x->read_conn, x);
+	x->read_conn = NULL;
+	if (x->read_id != 0)
+		sidecar_links_read_done(x->backend, x->read_id);
+	x->read_id = 0;
 	x->backend->pending_tokens -= x->pending_tokens;
 	x->pending_tokens = 0;
 }
@@ -311,6 +321,18 @@
 	return HTTP_HEAD_TAKE;
 }
 
+static void
+note_piece(struct exchange *x)
+{
+	int64_t now = clock_now(x->gateway->process.clock);
+
+	if (x->first_us == 0)
+		x->first_us = now - x->arrived_us;
+	else if (now - x->last_piece_us > x->max_gap_us)
+		x->max_gap_us = now - x->last_piece_us;
+	x->last_piece_us = now;
+}
+
 /* -1 if the caller reads too slowly. */
 static int
 pass_event(struct exchange *x, struct evbuffer *buf, struct stream_event *ev)
@@ -325,6 +347,7 @@
 	rc = caller_chunk(
 	    x->caller, evbuffer_pullup(buf, (ev_ssize_t)ev->len), ev->len);
 	evbuffer_drain(buf, ev->len);
+	note_piece(x);
 	if (ev->has_id) {
 		x->has_last = true;
 		x->last_event = ev->id;
@@ -428,11 +451,11 @@
 	}
 }
 
-void
-exchange_send(struct exchange *x, struct backend *b, int64_t predicted_us,
-    uint32_t tokens)
+static void
+transmit(struct exchange *x)
 {
 	struct gateway *g = x->gateway;
+	struct backend *b = x->backend;
 	struct evhttp_request *req = caller_request(x->caller);
 	struct forward_headers own;
 	struct http_header headers[HEADERS_MAX];
@@ -460,14 +483,70 @@
 	x->attempts++;
 	x->code = 0;
 	x->sent_us = clock_now(g->process.clock);
-	x->predicted_us = predicted_us;
 	note_tried(x, b);
-	hold_backend(x, b, tokens);
 	log_info(g->process.logger, "request sent",
 	    LF_S("request", x->terms.id), LF_S("replica", b->entry.id),
 	    LF_S("model", x->terms.model), LF_I("attempt", x->attempts),
-	    LF_I("predicted_us", predicted_us), LF_I("tokens", tokens),
-	    LF_I("in_flight", b->in_flight), LF_I("reported", b->reported),
-	    LF_I("left_us", terms.deadline_us));
+	    LF_I("predicted_us", x->predicted_us),
+	    LF_I("tokens", x->pending_tokens), LF_I("in_flight", b->in_flight),
+	    LF_I("reported", b->reported), LF_I("left_us", terms.deadline_us));
 	x->call = http_client_call(b->http, &opts);
 }
+
+/* ---- leave to have a long prompt read ---- */
+
+static void
+on_read_answer(void *ctx, enum rpc_status status, void *reply)
+{
+	struct exchange *x = ctx;
+	const struct tm_read_reply *read = reply;
+
+	x->read_conn = NULL;
+	if (status != RPC_OK)
+		x->read_id = 0; /* nobody there keeps order: the replica does */
+	else if (!read->granted) {
+		x->read_id = 0;
+		note_tried(x, x->backend);
+		release_backend(x);
+		exchange_dispatch(x);
+		return;
+	}
+	if (backend_takes_work(x->backend)) {
+		transmit(x);
+		return;
+	}
+	release_backend(x);
+	exchange_dispatch(x);
+}
+
+static bool
+ask_read(struct exchange *x)
+{
+	struct gateway *g = x->gateway;
+	int64_t waited = clock_now(g->process.clock) - x->arrived_us;
+	struct tm_read_args args = {
+		.id = ++g->read_ids,
+		.tokens = x->pending_tokens,
+		.goal_left_us = x->route->goal_us - waited,
+		.left_us = (uint64_t)exchange_left_us(x),
+	};
+
+	if (x->pending_tokens < READ_ASK_TOKENS ||
+	    exchange_left_us(x) < SEND_MIN_US)
+		return false;
+	x->read_conn = sidecar_links_ask_read(
+	    g->links, x->backend, &args, on_read_answer, x);
+	if (x->read_conn != NULL)
+		x->read_id = args.id;
+	return x->read_conn != NULL;
+}
+
+void
+exchange_send(struct exchange *x, struct backend *b, int64_t predicted_us,
+    uint32_t tokens)
+{
+	x->predicted_us = predicted_us;
+	hold_backend(x, b, tokens);
+	if (!ask_read(x))
+		transmit(x);
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -13,6 +13,7 @@
 #include "common/metrics.h"
 #include "common/options.h"
 #include "common/reload.h"
+#include "coordination/deployment_share.h"
 #include "coordination/keyed_feed.h"
 #include "coordination/pace.h"
 #include "coordination/prefix_map.h"
@@ -35,6 +36,9 @@
 #define MAX_HEADERS 65536 /* bytes; likewise */
 #define PREFIXES 65536
 #define RETRY_TARGETS 256
+#define RETRY_START 1.0 /* retries of a gateway that has just started */
+/* The rest of the floor covers gateways that restart or are not counted yet. */
+#define RETRY_FLOOR_SHARE 0.6
 /* Probes that balancers miss before they send no new connection. */
 #define STOP_MIN_US (3 * USEC_PER_SEC)
 /* Kept for the last answers to leave before the drain time is over. */
@@ -80,52 +84,13 @@
 	OPTION_END,
 };
 
-/* ---- deployments ---- */
-
-void
-gateway_take_deployment(
-    struct gateway *g, const void *doc, size_t len, const char *from)
-{
-	struct fleet_error err;
-	struct deployment *d = g->adapter->decode_deployment(doc, len, &err);
-	void *copy;
-
-	if (d == NULL) {
-		log_error(g->process.logger, "deployment cannot be read",
-		    LF_S("from", from), LF_S("why", err.text),
-		    LF_I("bytes", len));
-		return;
-	}
-	if (g->deployment != NULL && d->version <= g->deployment->version) {
-		deployment_unref(d);
-		return;
-	}
-	copy = malloc(len);
-	if (copy == NULL)
-		abort();
-	memcpy(copy, doc, len);
-	free(g->deployment_doc);
-	g->deployment_doc = copy;
-	g->deployment_len = len;
-	log_info(g->process.logger, "deployment in force", LF_S("from", from),
-	    LF_I("version", d->version),
-	    LF_I("was",
-		g->deployment == NULL ? 0 : (int64_t)g->deployment->version),
-	    LF_I("routes", d->route_count), LF_I("services", d->service_count));
-	deployment_unref(g->deployment);
-	g->deployment = d;
-	sidecar_links_refresh(g->links);
-}
-
 static void
-on_deployment_record(void *ctx, const struct fleet_record *record)
+on_deployment(void *ctx)
 {
 	struct gateway *g = ctx;
-	const char *key = g->adapter->deployment_key;
 
-	if (record->key_len == strlen(key) &&
-	    memcmp(record->key, key, record->key_len) == 0 && record->len > 0)
-		gateway_take_deployment(g, record->value, record->len, "store");
+	g->deployment = deployment_share_get(g->share);
+	sidecar_links_refresh(g->links);
 }
 
 static void
@@ -285,6 +250,7 @@
 
 	process_timer_add(g->tick, TICK_US);
 	backends_tick(g->backends);
+	deployment_share_tick(g->share);
 	sidecar_links_tick(g->links);
 	exchanges_review(g);
 	if (g->stop_us != 0)
@@ -313,23 +279,41 @@
 	return keyed_feed_create(&opts);
 }
 
+double
+gateway_retry_burst(const struct gateway *g, unsigned gateways)
+{
+	double burst = RETRY_FLOOR_SHARE * (double)g->settings.retry_floor /
+		       (double)gateways;
+
+	return burst < 1 ? 1 : burst;
+}
+
 static int
 create_policies(struct gateway *g)
 {
 	struct retry_budget_options retries = {
 		.share = g->settings.retry_share,
-		.burst = (double)g->settings.retry_floor /
-			 (double)g->settings.retry_sharers,
+		.burst =
+		    gateway_retry_burst(g, (unsigned)g->settings.retry_sharers),
+		.start = RETRY_START,
 		.max_targets = RETRY_TARGETS,
 	};
+	struct deployment_share_options share = {
+		.process = &g->process,
+		.adapter = g->adapter,
+		.changed = on_deployment,
+		.ctx = g,
+	};
 
+	g->share = deployment_share_create(&share);
 	g->budget = retry_budget_create(&retries);
 	g->prefixes = prefix_map_create(PREFIXES);
 	g->paces = pace_create();
 	g->backends = backends_create(g);
 	g->links = sidecar_links_create(g);
-	return g->budget == NULL || g->prefixes == NULL || g->paces == NULL ||
-		       g->backends == NULL || g->links == NULL
+	return g->share == NULL || g->budget == NULL || g->prefixes == NULL ||
+		       g->paces == NULL || g->backends == NULL ||
+		       g->links == NULL
 		   ? -1
 		   : 0;
 }
@@ -347,7 +331,8 @@
 	if (g->store == NULL)
 		return -1;
 	g->deployment_feed = follow(g, FLEET_DEPLOYMENT, "deployment", 0,
-	    on_deployment_record, ignore_snapshot, ignore_snapshot, g);
+	    deployment_share_record, ignore_snapshot, ignore_snapshot,
+	    g->share);
 	g->replica_feed = follow(g, FLEET_REPLICAS, "replicas",
 	    REPLICA_PAUSE_US, backends_record, backends_snapshot_begin,
 	    backends_snapshot_end, g->backends);
@@ -427,8 +412,7 @@
 	pace_destroy(g->paces);
 	prefix_map_destroy(g->prefixes);
 	retry_budget_destroy(g->budget);
-	deployment_unref(g->deployment);
-	free(g->deployment_doc);
+	deployment_share_destroy(g->share);
 	if (g->tick != NULL)
 		event_free(g->tick);
 	process_close(&g->process);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -14,6 +14,7 @@
 
 struct backends;
 struct deployment;
+struct deployment_share;
 struct exchange;
 struct http_server;
 struct keyed_feed;
@@ -58,9 +59,8 @@
 	void *store;
 	struct keyed_feed *deployment_feed;
 	struct keyed_feed *replica_feed;
-	struct deployment *deployment; /* NULL until the first one */
-	void *deployment_doc; /* as it came, for peers */
-	size_t deployment_len;
+	struct deployment_share *share;
+	struct deployment *deployment; /* in force; NULL until the first one */
 	struct backends *backends;
 	struct sidecar_links *links;
 	struct http_server *front;
@@ -72,13 +72,14 @@
 	struct prefix_map *prefixes;
 	struct model_pace *paces;
 	struct rng rng;
+	uint64_t read_ids; /* used for leave to read prompts */
+	int64_t spread_us; /* when a model was last spread */
 	struct event *tick;
 	int64_t stop_us; /* when SIGTERM came; 0: runs */
 	struct gateway_counters counters;
 };
 
-/* Takes a deployment that is newer than the one in force. */
-void gateway_take_deployment(
-    struct gateway *, const void *doc, size_t len, const char *from);
+/* Most retries that a gateway may save up for one service. */
+double gateway_retry_burst(const struct gateway *, unsigned gateways);
 
 #endif
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -9,6 +9,8 @@
 #include "common/addr.h"
 #include "common/clock.h"
 #include "common/log.h"
+#include "coordination/deployment_share.h"
+#include "coordination/retry_budget.h"
 #include "gateway/backends.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_internal.h"
@@ -21,16 +23,27 @@
 #define STALL_US (3 * USEC_PER_SEC)
 #define DEAD_PEER_US (3 * USEC_PER_SEC)
 #define RECONNECT_US (500 * USEC_PER_MSEC)
-/* A peer that reads the store itself has a new deployment by then. */
-#define RELAY_AFTER_US (400 * USEC_PER_MSEC)
 #define TELL_USES_US (500 * USEC_PER_MSEC)
 #define USES_MAX 64 /* in one message */
 
+static void on_holds(void *, struct rpc_call *, void *);
+static void on_load(void *, struct rpc_call *, void *);
+
+static const struct rpc_handler handlers[] = {
+	{ TM_REPLICA_HOLDS, (xdrproc_t)xdr_tm_replica_holds,
+	    sizeof(struct tm_replica_holds), NULL, on_holds, NULL },
+	{ TM_REPLICA_LOAD, (xdrproc_t)xdr_tm_replica_load,
+	    sizeof(struct tm_replica_load), NULL, on_load, NULL },
+	{ 0 },
+};
+
+#define HANDLERS (sizeof(handlers) / sizeof(handlers[0]))
+
 struct sidecar_links {
 	struct gateway *gateway;
 	struct rpc *rpc;
-	int64_t deployment_since_us;
-	uint64_t deployment_version;
+	struct rpc_handler handlers[HANDLERS + 2];
+	unsigned gateways; /* that a sidecar counted */
 	int64_t told_us;
 };
 
@@ -68,6 +81,20 @@
 	}
 }
 
+/* The floor of the retry budget is divided among all gateways. */
+static void
+note_gateways(struct sidecar_links *l, unsigned gateways)
+{
+	struct gateway *g = l->gateway;
+
+	if (gateways <= l->gateways)
+		return;
+	l->gateways = gateways;
+	if (gateways > g->settings.retry_sharers)
+		retry_budget_set_burst(
+		    g->budget, gateway_retry_burst(g, gateways));
+}
+
 static void
 on_holds(void *ctx, struct rpc_call *call, void *arg)
 {
@@ -102,6 +129,7 @@
 	    told->loading[0] == '\0' ? 0 : now + told->loading_left_us;
 	b->free_mb = told->free_mb;
 	b->victim_idle_us = told->victim_idle_us;
+	note_gateways(l, told->gateways);
 	exchanges_review(l->gateway);
 }
 
@@ -117,53 +145,44 @@
 	b->report_us = clock_now(l->gateway->process.clock);
 	b->reported = told->queued + told->active;
 	b->kv_used = told->kv_used;
+	b->gate_tokens = told->gate_tokens;
+	b->reading_share = told->reading_permille / 1000.0;
 	b->sent_since = 0;
 }
 
-static void
-on_deployment(void *ctx, struct rpc_call *call, void *arg)
-{
-	struct sidecar_links *l = ctx;
-	const struct tm_deployment_doc *told = arg;
-
-	gateway_take_deployment(
-	    l->gateway, told->doc.doc_val, told->doc.doc_len, "peer");
-}
-
-static const struct rpc_handler handlers[] = {
-	{ TM_REPLICA_HOLDS, (xdrproc_t)xdr_tm_replica_holds,
-	    sizeof(struct tm_replica_holds), NULL, on_holds, NULL },
-	{ TM_REPLICA_LOAD, (xdrproc_t)xdr_tm_replica_load,
-	    sizeof(struct tm_replica_load), NULL, on_load, NULL },
-	{ TM_DEPLOYMENT, (xdrproc_t)xdr_tm_deployment_doc,
-	    sizeof(struct tm_deployment_doc), NULL, on_deployment, NULL },
-	{ 0 },
-};
-
 /* ---- connections ---- */
 
-static uint64_t
-own_version(const struct sidecar_links *l)
+static void
+fill_handlers(struct sidecar_links *l)
 {
-	const struct deployment *d = l->gateway->deployment;
-
-	return d == NULL ? 0 : d->version;
+	struct deployment_share *share = l->gateway->share;
+	size_t last = HANDLERS - 1;
+
+	memcpy(l->handlers, handlers, sizeof(handlers));
+	l->handlers[last++] = (struct rpc_handler){ TM_DEPLOYMENT,
+		(xdrproc_t)xdr_tm_deployment_doc,
+		sizeof(struct tm_deployment_doc), NULL, deployment_share_on_doc,
+		share };
+	l->handlers[last] = (struct rpc_handler){ TM_DEPLOYMENT_ASK,
+		(xdrproc_t)xdr_tm_deployment_ask,
+		sizeof(struct tm_deployment_ask), NULL, deployment_share_on_ask,
+		share };
 }
 
 static void
 fill_versions(void *ctx, struct rpc_versions *v)
 {
-	v->config = own_version(ctx);
-	v->control = 0;
+	struct sidecar_links *l = ctx;
+
+	deployment_share_fill(l->gateway->share, v);
 }
 
 static void
 seen_versions(void *ctx, struct rpc_conn *conn, const struct rpc_versions *v)
 {
-	struct backend *b = rpc_conn_owner(conn);
+	struct sidecar_links *l = ctx;
 
-	if (b != NULL)
-		b->peer_version = v->config;
+	deployment_share_seen(l->gateway->share, conn, v);
 }
 
 static void
@@ -172,6 +191,7 @@
 	struct sidecar_links *l = ctx;
 	struct backend *b = rpc_conn_owner(conn);
 
+	deployment_share_closed(l->gateway->share, conn);
 	if (b == NULL || b->conn != conn)
 		return;
 	log_warn(l->gateway->process.logger, "sidecar lost",
@@ -290,49 +310,19 @@
 		    (xdrproc_t)xdr_tm_replica_use, &msg);
 }
 
-static void
-relay_deployment(struct sidecar_links *l, struct backend *b)
-{
-	struct gateway *g = l->gateway;
-	struct tm_deployment_doc doc = {
-		.ver = own_version(l),
-		.doc.doc_val = g->deployment_doc,
-		.doc.doc_len = (u_int)g->deployment_len,
-	};
-
-	if (b->peer_version >= doc.ver || g->deployment_len > TM_BODY_MAX)
-		return;
-	log_info(g->process.logger, "deployment passed on",
-	    LF_S("replica", b->entry.id), LF_I("version", doc.ver),
-	    LF_I("peer_version", b->peer_version));
-	if (rpc_conn_send(b->conn, TM_DEPLOYMENT,
-		(xdrproc_t)xdr_tm_deployment_doc, &doc) == 0)
-		b->peer_version = doc.ver;
-}
-
 void
 sidecar_links_tick(struct sidecar_links *l)
 {
 	struct backend *b = NULL;
 	int64_t now = clock_now(l->gateway->process.clock);
-	bool news = own_version(l) != l->deployment_version;
-	bool relay = now - l->deployment_since_us >= RELAY_AFTER_US;
 
-	if (news) {
-		l->deployment_version = own_version(l);
-		l->deployment_since_us = now;
-		relay = false;
-	}
-	if (!news && now - l->told_us < TELL_USES_US)
+	if (now - l->told_us < TELL_USES_US)
 		return;
 	l->told_us = now;
 	sidecar_links_refresh(l);
 	while ((b = backends_next(l->gateway->backends, b)) != NULL) {
-		if (b->conn == NULL || b->connecting)
-			continue;
-		send_uses(l, b, news);
-		if (relay)
-			relay_deployment(l, b);
+		if (b->conn != NULL && !b->connecting)
+			send_uses(l, b, false);
 	}
 }
 
@@ -353,6 +343,29 @@
 		    (xdrproc_t)xdr_tm_replica_want, &msg);
 }
 
+struct rpc_conn *
+sidecar_links_ask_read(struct sidecar_links *l, struct backend *b,
+    const struct tm_read_args *args,
+    void (*done)(void *, enum rpc_status, void *), void *ctx)
+{
+	if (b->conn == NULL || b->connecting)
+		return NULL;
+	rpc_conn_call(b->conn, TM_READ, (xdrproc_t)xdr_tm_read_args, args,
+	    (xdrproc_t)xdr_tm_read_reply, sizeof(struct tm_read_reply),
+	    (int64_t)args->left_us, done, ctx);
+	return b->conn;
+}
+
+void
+sidecar_links_read_done(struct backend *b, uint64_t id)
+{
+	struct tm_read_done msg = { id };
+
+	if (b->conn != NULL && !b->connecting)
+		(void)rpc_conn_send(
+		    b->conn, TM_READ_DONE, (xdrproc_t)xdr_tm_read_done, &msg);
+}
+
 struct sidecar_links *
 sidecar_links_create(struct gateway *g)
 {
@@ -363,13 +376,10 @@
 		.metrics = g->process.metrics,
 		.program = TM_PROG,
 		.version = TM_V1,
-		.handlers = handlers,
 		.max_record = MAX_RECORD,
 		.max_output = MAX_OUTPUT,
 		.stall_us = STALL_US,
 		.dead_peer_us = DEAD_PEER_US,
-		.fill_versions = fill_versions,
-		.seen_versions = seen_versions,
 		.closed = on_closed,
 	};
 
@@ -377,6 +387,10 @@
 		return NULL;
 	l->gateway = g;
 	opts.ctx = l;
+	fill_handlers(l);
+	opts.handlers = l->handlers;
+	opts.fill_versions = fill_versions;
+	opts.seen_versions = seen_versions;
 	l->rpc = rpc_create(&opts);
 	if (l->rpc == NULL) {
 		free(l);
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -11,10 +11,13 @@
 
 #include <stdint.h>
 
+#include "transport/rpc.h"
+
 struct backend;
 struct gateway;
 struct sidecar_links;
 struct request_terms;
+struct tm_read_args;
 
 struct sidecar_links *sidecar_links_create(struct gateway *);
 void sidecar_links_destroy(struct sidecar_links *);
@@ -31,4 +34,14 @@
 void sidecar_links_want(struct sidecar_links *, struct backend *,
     const struct request_terms *, unsigned rank, int64_t left_us);
 
+/*
+ * Asks for leave to have a prompt read.  Returns the connection, whose pending
+ * call done() answers, or NULL if no sidecar can be asked.
+ */
+struct rpc_conn *sidecar_links_ask_read(struct sidecar_links *,
+    struct backend *, const struct tm_read_args *,
+    void (*done)(void *ctx, enum rpc_status, void *reply), void *ctx);
+/* The prompt was read there, or will not be. */
+void sidecar_links_read_done(struct backend *, uint64_t id);
+
 #endif
--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -52,6 +52,7 @@
 	int64_t gone_in_us; /* until it is taken away; -1: not told */
 	unsigned queued;
 	unsigned active;
+	unsigned reading; /* active ones whose prompt is being read */
 	int64_t kv_used; /* tokens that cannot be evicted */
 	int64_t kv_total;
 	unsigned model_count;
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -500,6 +500,25 @@
 	unsigned int queued;
 	unsigned int active;
 	hyper kv_used;			/* tokens */
+	unsigned int reading_permille;	/* of the time, lately */
+	unsigned hyper gate_tokens;	/* of prompts that wait to be read */
+};
+
+/* Gateway to sidecar: leave to have a long prompt read. */
+struct tm_read_args {
+	unsigned hyper id;		/* of this connection */
+	unsigned int tokens;
+	hyper goal_left_us;		/* negative: already late */
+	unsigned hyper left_us;
+};
+
+struct tm_read_reply {
+	bool granted;			/* false: it would come too late */
+};
+
+/* One-way: the prompt has been read, or nobody needs it any more. */
+struct tm_read_done {
+	unsigned hyper id;
 };
 
 /* One-way, gateway to sidecar: requests wait for this model. */
@@ -523,7 +542,12 @@
 	tm_model_use uses<TM_LIST_MAX>;
 };
 
-/* One-way, to a peer whose deployment is older. */
+/* One-way, to a peer that showed a newer deployment. */
+struct tm_deployment_ask {
+	unsigned hyper have;
+};
+
+/* One-way, the answer to it. */
 struct tm_deployment_doc {
 	unsigned hyper ver;
 	opaque doc<TM_BODY_MAX>;
@@ -556,5 +580,8 @@
 		void TM_REPLICA_WANT(tm_replica_want) = 22;
 		void TM_REPLICA_USE(tm_replica_use) = 23;
 		void TM_DEPLOYMENT(tm_deployment_doc) = 24;
+		void TM_DEPLOYMENT_ASK(tm_deployment_ask) = 25;
+		tm_read_reply TM_READ(tm_read_args) = 26;
+		void TM_READ_DONE(tm_read_done) = 27;
 	} = 1;
 } = 0x20746d31;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1228,6 +1228,46 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->kv_used))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reading_permille))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gate_tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_read_args (XDR *xdrs, tm_read_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->goal_left_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->left_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_read_reply (XDR *xdrs, tm_read_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->granted))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_read_done (XDR *xdrs, tm_read_done *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1276,6 +1316,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_tm_deployment_ask (XDR *xdrs, tm_deployment_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->have))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_tm_deployment_doc (XDR *xdrs, tm_deployment_doc *objp)
 {
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -596,9 +596,29 @@
 	u_int queued;
 	u_int active;
 	quad_t kv_used;
+	u_int reading_permille;
+	u_quad_t gate_tokens;
 };
 typedef struct tm_replica_load tm_replica_load;
 
+struct tm_read_args {
+	u_quad_t id;
+	u_int tokens;
+	quad_t goal_left_us;
+	u_quad_t left_us;
+};
+typedef struct tm_read_args tm_read_args;
+
+struct tm_read_reply {
+	bool_t granted;
+};
+typedef struct tm_read_reply tm_read_reply;
+
+struct tm_read_done {
+	u_quad_t id;
+};
+typedef struct tm_read_done tm_read_done;
+
 struct tm_replica_want {
 	tm_name model;
 	tm_name adapter;
@@ -624,6 +644,11 @@
 };
 typedef struct tm_replica_use tm_replica_use;
 
+struct tm_deployment_ask {
+	u_quad_t have;
+};
+typedef struct tm_deployment_ask tm_deployment_ask;
+
 struct tm_deployment_doc {
 	u_quad_t ver;
 	struct {
@@ -709,6 +734,15 @@
 #define TM_DEPLOYMENT 24
 extern  void * tm_deployment_1(tm_deployment_doc *, CLIENT *);
 extern  void * tm_deployment_1_svc(tm_deployment_doc *, struct svc_req *);
+#define TM_DEPLOYMENT_ASK 25
+extern  void * tm_deployment_ask_1(tm_deployment_ask *, CLIENT *);
+extern  void * tm_deployment_ask_1_svc(tm_deployment_ask *, struct svc_req *);
+#define TM_READ 26
+extern  tm_read_reply * tm_read_1(tm_read_args *, CLIENT *);
+extern  tm_read_reply * tm_read_1_svc(tm_read_args *, struct svc_req *);
+#define TM_READ_DONE 27
+extern  void * tm_read_done_1(tm_read_done *, CLIENT *);
+extern  void * tm_read_done_1_svc(tm_read_done *, struct svc_req *);
 extern int tm_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -784,6 +818,15 @@
 #define TM_DEPLOYMENT 24
 extern  void * tm_deployment_1();
 extern  void * tm_deployment_1_svc();
+#define TM_DEPLOYMENT_ASK 25
+extern  void * tm_deployment_ask_1();
+extern  void * tm_deployment_ask_1_svc();
+#define TM_READ 26
+extern  tm_read_reply * tm_read_1();
+extern  tm_read_reply * tm_read_1_svc();
+#define TM_READ_DONE 27
+extern  void * tm_read_done_1();
+extern  void * tm_read_done_1_svc();
 extern int tm_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -855,9 +898,13 @@
 extern  bool_t xdr_tm_held_model (XDR *, tm_held_model*);
 extern  bool_t xdr_tm_replica_holds (XDR *, tm_replica_holds*);
 extern  bool_t xdr_tm_replica_load (XDR *, tm_replica_load*);
+extern  bool_t xdr_tm_read_args (XDR *, tm_read_args*);
+extern  bool_t xdr_tm_read_reply (XDR *, tm_read_reply*);
+extern  bool_t xdr_tm_read_done (XDR *, tm_read_done*);
 extern  bool_t xdr_tm_replica_want (XDR *, tm_replica_want*);
 extern  bool_t xdr_tm_model_use (XDR *, tm_model_use*);
 extern  bool_t xdr_tm_replica_use (XDR *, tm_replica_use*);
+extern  bool_t xdr_tm_deployment_ask (XDR *, tm_deployment_ask*);
 extern  bool_t xdr_tm_deployment_doc (XDR *, tm_deployment_doc*);
 
 #else /* K&R C */
@@ -926,9 +973,13 @@
 extern bool_t xdr_tm_held_model ();
 extern bool_t xdr_tm_replica_holds ();
 extern bool_t xdr_tm_replica_load ();
+extern bool_t xdr_tm_read_args ();
+extern bool_t xdr_tm_read_reply ();
+extern bool_t xdr_tm_read_done ();
 extern bool_t xdr_tm_replica_want ();
 extern bool_t xdr_tm_model_use ();
 extern bool_t xdr_tm_replica_use ();
+extern bool_t xdr_tm_deployment_ask ();
 extern bool_t xdr_tm_deployment_doc ();
 
 #endif /* K&R C */
--- a/src/sidecar/peers.c
+++ b/src/sidecar/peers.c
@@ -9,6 +9,8 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "coordination/deployment_share.h"
+#include "coordination/read_gate.h"
 #include "protocol/tm_xdr.h"
 #include "sidecar/sidecar_internal.h"
 #include "sidecar/steering.h"
@@ -22,8 +24,14 @@
 #define LOAD_PAUSE_US (250 * USEC_PER_MSEC) /* between two load messages */
 /* The victim's idle time grows all the while: told in such steps. */
 #define IDLE_STEP_US (4 * USEC_PER_SEC)
-/* A peer that reads the store itself has a new deployment by then. */
-#define RELAY_AFTER_US (400 * USEC_PER_MSEC)
+/* Most peers have had another message by then, which shows the version too. */
+#define TELL_VERSION_US (300 * USEC_PER_MSEC)
+/* Three pieces of a prompt: streams of five tokens an event stay below 600 ms.
+ */
+#define READ_BATCH_TOKENS 12000
+#define READ_TOKENS_PER_MS 38.0 /* of the engines in use */
+#define READ_GRANT_US (2 * USEC_PER_SEC)
+#define READING_STEP 50 /* permille that are worth a message */
 #define USES_MAX 256 /* of one gateway */
 #define KEY_SIZE (2 * FLEET_NAME_MAX + 2)
 
@@ -35,22 +43,44 @@
 
 struct peer {
 	struct rpc_conn *conn;
-	uint64_t version; /* deployment that it has */
+	int64_t sent_us; /* the last message to it */
 	bool told; /* it has what the replica holds */
 	struct peer_use uses[USES_MAX];
 	unsigned use_count;
 	TAILQ_ENTRY(peer) link;
 };
 
+static void on_use(void *, struct rpc_call *, void *);
+static void on_want(void *, struct rpc_call *, void *);
+static void on_read(void *, struct rpc_call *, void *);
+static void on_read_done(void *, struct rpc_call *, void *);
+
+static const struct rpc_handler handlers[] = {
+	{ TM_REPLICA_USE, (xdrproc_t)xdr_tm_replica_use,
+	    sizeof(struct tm_replica_use), NULL, on_use, NULL },
+	{ TM_REPLICA_WANT, (xdrproc_t)xdr_tm_replica_want,
+	    sizeof(struct tm_replica_want), NULL, on_want, NULL },
+	{ TM_READ, (xdrproc_t)xdr_tm_read_args, sizeof(struct tm_read_args),
+	    (xdrproc_t)xdr_tm_read_reply, on_read, NULL },
+	{ TM_READ_DONE, (xdrproc_t)xdr_tm_read_done,
+	    sizeof(struct tm_read_done), NULL, on_read_done, NULL },
+	{ 0 },
+};
+
+#define HANDLERS (sizeof(handlers) / sizeof(handlers[0]))
+
 struct peers {
 	struct sidecar *sidecar;
 	struct rpc *rpc;
 	unsigned count;
+	struct read_gate *gate;
 	uint64_t holds_hash;
 	struct tm_replica_load load; /* as told last */
 	int64_t load_us;
-	uint64_t deployment_version;
-	int64_t deployment_since_us;
+	uint64_t version; /* of the deployment */
+	int64_t version_us;
+	bool version_told;
+	struct rpc_handler handlers[HANDLERS + 2];
 	TAILQ_HEAD(, peer) list;
 };
 
@@ -69,7 +99,6 @@
 	if (p == NULL)
 		abort();
 	p->conn = conn;
-	p->version = rpc_call_versions(call).config;
 	rpc_conn_set_owner(conn, p);
 	TAILQ_INSERT_TAIL(&ps->list, p, link);
 	ps->count++;
@@ -147,25 +176,73 @@
 		steering_want(ps->sidecar->steering, arg);
 }
 
+/* ---- leave to read prompts ---- */
+
 static void
-on_deployment(void *ctx, struct rpc_call *call, void *arg)
+answer_read(void *call, bool granted)
+{
+	const struct tm_read_reply reply = { granted };
+
+	rpc_call_reply(call, &reply);
+}
+
+/* Lets in what may be read now. */
+static void
+open_gate(struct peers *ps)
+{
+	int64_t now = clock_now(ps->sidecar->process.clock);
+	struct read_request req;
+	bool granted;
+
+	while (read_gate_next(ps->gate, now, &req, &granted))
+		answer_read(req.ctx, granted);
+}
+
+static void
+on_read(void *ctx, struct rpc_call *call, void *arg)
 {
 	struct peers *ps = ctx;
-	const struct tm_deployment_doc *told = arg;
+	const struct tm_read_args *told = arg;
+	int64_t now = clock_now(ps->sidecar->process.clock);
+	struct read_request req = {
+		.owner = peer_of(ps, call),
+		.id = told->id,
+		.tokens = told->tokens,
+		.goal_us = now + told->goal_left_us,
+		.deadline_us = now + (int64_t)told->left_us,
+		.ctx = call,
+	};
 
-	sidecar_take_deployment(
-	    ps->sidecar, told->doc.doc_val, told->doc.doc_len, "peer");
+	if (req.owner == NULL || !read_gate_ask(ps->gate, &req, now)) {
+		answer_read(call, false);
+		return;
+	}
+	open_gate(ps);
 }
 
-static const struct rpc_handler handlers[] = {
-	{ TM_REPLICA_USE, (xdrproc_t)xdr_tm_replica_use,
-	    sizeof(struct tm_replica_use), NULL, on_use, NULL },
-	{ TM_REPLICA_WANT, (xdrproc_t)xdr_tm_replica_want,
-	    sizeof(struct tm_replica_want), NULL, on_want, NULL },
-	{ TM_DEPLOYMENT, (xdrproc_t)xdr_tm_deployment_doc,
-	    sizeof(struct tm_deployment_doc), NULL, on_deployment, NULL },
-	{ 0 },
-};
+static void
+on_read_done(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct peers *ps = ctx;
+	const struct tm_read_done *told = arg;
+	void *waited = read_gate_done(ps->gate, peer_of(ps, call), told->id);
+
+	if (waited != NULL)
+		answer_read(waited, false);
+	open_gate(ps);
+}
+
+static void
+forget_reads(struct peers *ps, const struct peer *p)
+{
+	struct read_request req;
+
+	while (read_gate_forget(ps->gate, p, &req)) {
+		if (req.ctx != NULL)
+			answer_read(req.ctx, false);
+	}
+	open_gate(ps);
+}
 
 /* ---- what this sidecar tells ---- */
 
@@ -280,27 +357,40 @@
 	ps->holds_hash = hash;
 }
 
+static void
+send_load(struct peers *ps, struct peer *p, const struct tm_replica_load *load)
+{
+	p->sent_us = clock_now(ps->sidecar->process.clock);
+	(void)rpc_conn_send(
+	    p->conn, TM_REPLICA_LOAD, (xdrproc_t)xdr_tm_replica_load, load);
+}
+
 static void
 tell_load(struct peers *ps)
 {
 	const struct replica_state *s = steering_state(ps->sidecar->steering);
 	int64_t now = clock_now(ps->sidecar->process.clock);
-	struct tm_replica_load load;
+	struct tm_replica_load load = { 0 };
 	struct peer *p;
 
+	load.gate_tokens = read_gate_waiting(ps->gate);
 	if (s == NULL || now - ps->load_us < LOAD_PAUSE_US)
 		return;
 	load.queued = s->queued;
 	load.active = s->active;
 	load.kv_used = s->kv_used;
+	load.reading_permille =
+	    (u_int)(steering_reading_share(ps->sidecar->steering) * 1000);
 	if (load.queued == ps->load.queued && load.active == ps->load.active &&
-	    load.kv_used == ps->load.kv_used)
+	    load.kv_used == ps->load.kv_used &&
+	    load.gate_tokens == ps->load.gate_tokens &&
+	    load.reading_permille / READING_STEP ==
+		ps->load.reading_permille / READING_STEP)
 		return;
 	ps->load = load;
 	ps->load_us = now;
 	TAILQ_FOREACH(p, &ps->list, link)
-		(void)rpc_conn_send(p->conn, TM_REPLICA_LOAD,
-		    (xdrproc_t)xdr_tm_replica_load, &load);
+		send_load(ps, p, &load);
 }
 
 void
@@ -312,66 +402,63 @@
 	tell_load(ps);
 }
 
-static uint64_t
-own_version(const struct peers *ps)
-{
-	const struct deployment *d = ps->sidecar->deployment;
-
-	return d == NULL ? 0 : d->version;
-}
-
-static void
-relay_deployment(struct peers *ps, struct peer *p)
-{
-	struct sidecar *sc = ps->sidecar;
-	struct tm_deployment_doc doc = {
-		.ver = own_version(ps),
-		.doc.doc_val = sc->deployment_doc,
-		.doc.doc_len = (u_int)sc->deployment_len,
-	};
-
-	if (p->version >= doc.ver || sc->deployment_len > TM_BODY_MAX)
-		return;
-	log_info(sc->process.logger, "deployment passed on",
-	    LF_I("version", doc.ver), LF_I("peer_version", p->version));
-	if (rpc_conn_send(p->conn, TM_DEPLOYMENT,
-		(xdrproc_t)xdr_tm_deployment_doc, &doc) == 0)
-		p->version = doc.ver;
-}
-
+/* A peer that the store turns away learns of a newer deployment by any message.
+ */
 void
 peers_tick(struct peers *ps)
 {
+	uint64_t version = deployment_share_version(ps->sidecar->share);
 	int64_t now = clock_now(ps->sidecar->process.clock);
 	struct peer *p;
 
-	if (own_version(ps) != ps->deployment_version) {
-		ps->deployment_version = own_version(ps);
-		ps->deployment_since_us = now;
-		return;
+	open_gate(ps); /* grants expire, and waiting prompts become too late */
+	if (version != ps->version) {
+		ps->version = version;
+		ps->version_us = now;
+		ps->version_told = false;
 	}
-	if (now - ps->deployment_since_us < RELAY_AFTER_US)
+	if (ps->version_told || now - ps->version_us < TELL_VERSION_US)
 		return;
-	TAILQ_FOREACH(p, &ps->list, link)
-		relay_deployment(ps, p);
+	ps->version_told = true;
+	TAILQ_FOREACH(p, &ps->list, link) {
+		if (p->sent_us < ps->version_us)
+			send_load(ps, p, &ps->load);
+	}
 }
 
 /* ---- connections ---- */
 
+static void
+fill_handlers(struct peers *ps)
+{
+	struct deployment_share *share = ps->sidecar->share;
+	size_t last = HANDLERS - 1;
+
+	memcpy(ps->handlers, handlers, sizeof(handlers));
+	ps->handlers[last++] = (struct rpc_handler){ TM_DEPLOYMENT,
+		(xdrproc_t)xdr_tm_deployment_doc,
+		sizeof(struct tm_deployment_doc), NULL, deployment_share_on_doc,
+		share };
+	ps->handlers[last] = (struct rpc_handler){ TM_DEPLOYMENT_ASK,
+		(xdrproc_t)xdr_tm_deployment_ask,
+		sizeof(struct tm_deployment_ask), NULL, deployment_share_on_ask,
+		share };
+}
+
 static void
 fill_versions(void *ctx, struct rpc_versions *v)
 {
-	v->config = own_version(ctx);
-	v->control = 0;
+	struct peers *ps = ctx;
+
+	deployment_share_fill(ps->sidecar->share, v);
 }
 
 static void
 seen_versions(void *ctx, struct rpc_conn *conn, const struct rpc_versions *v)
 {
-	struct peer *p = rpc_conn_owner(conn);
+	struct peers *ps = ctx;
 
-	if (p != NULL)
-		p->version = v->config;
+	deployment_share_seen(ps->sidecar->share, conn, v);
 }
 
 static void
@@ -380,10 +467,12 @@
 	struct peers *ps = ctx;
 	struct peer *p = rpc_conn_owner(conn);
 
+	deployment_share_closed(ps->sidecar->share, conn);
 	if (p == NULL)
 		return;
 	TAILQ_REMOVE(&ps->list, p, link);
 	ps->count--;
+	forget_reads(ps, p);
 	/* Its requests ended with it, or will soon. */
 	for (unsigned i = 0; i < p->use_count; i++) {
 		struct tm_model_use use = {
@@ -409,21 +498,33 @@
 		.metrics = sc->process.metrics,
 		.program = TM_PROG,
 		.version = TM_V1,
-		.handlers = handlers,
+		.fill_versions = fill_versions,
+		.seen_versions = seen_versions,
 		.max_record = MAX_RECORD,
 		.max_output = MAX_OUTPUT,
 		.stall_us = STALL_US,
 		.dead_peer_us = DEAD_PEER_US,
-		.fill_versions = fill_versions,
-		.seen_versions = seen_versions,
 		.closed = on_closed,
 	};
 
+	const struct read_gate_options gate = {
+		.batch_tokens = READ_BATCH_TOKENS,
+		.tokens_per_ms = READ_TOKENS_PER_MS,
+		.grant_us = READ_GRANT_US,
+	};
+
 	if (ps == NULL)
 		return NULL;
 	ps->sidecar = sc;
 	TAILQ_INIT(&ps->list);
+	ps->gate = read_gate_create(&gate);
+	if (ps->gate == NULL) {
+		peers_destroy(ps);
+		return NULL;
+	}
 	opts.ctx = ps;
+	fill_handlers(ps);
+	opts.handlers = ps->handlers;
 	ps->rpc = rpc_create(&opts);
 	if (ps->rpc == NULL || rpc_listen(ps->rpc, sc->settings.listen) == -1) {
 		peers_destroy(ps);
@@ -439,5 +540,6 @@
 		return;
 	if (ps->rpc != NULL)
 		rpc_destroy(ps->rpc);
+	read_gate_destroy(ps->gate);
 	free(ps);
 }
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -13,6 +13,7 @@
 #include "common/metrics.h"
 #include "common/options.h"
 #include "common/reload.h"
+#include "coordination/deployment_share.h"
 #include "coordination/keyed_feed.h"
 #include "sidecar/peers.h"
 #include "sidecar/sidecar_internal.h"
@@ -56,37 +57,6 @@
 	OPTION_END,
 };
 
-void
-sidecar_take_deployment(
-    struct sidecar *sc, const void *doc, size_t len, const char *from)
-{
-	struct fleet_error err;
-	struct deployment *d = sc->adapter->decode_deployment(doc, len, &err);
-	void *copy;
-
-	if (d == NULL) {
-		log_error(sc->process.logger, "deployment cannot be read",
-		    LF_S("from", from), LF_S("why", err.text),
-		    LF_I("bytes", len));
-		return;
-	}
-	if (sc->deployment != NULL && d->version <= sc->deployment->version) {
-		deployment_unref(d);
-		return;
-	}
-	copy = malloc(len);
-	if (copy == NULL)
-		abort();
-	memcpy(copy, doc, len);
-	free(sc->deployment_doc);
-	sc->deployment_doc = copy;
-	sc->deployment_len = len;
-	log_info(sc->process.logger, "deployment in force", LF_S("from", from),
-	    LF_I("version", d->version));
-	deployment_unref(sc->deployment);
-	sc->deployment = d;
-}
-
 const struct engine_spec *
 sidecar_engine(const struct sidecar *sc)
 {
@@ -99,15 +69,11 @@
 }
 
 static void
-on_deployment_record(void *ctx, const struct fleet_record *record)
+on_deployment(void *ctx)
 {
 	struct sidecar *sc = ctx;
-	const char *key = sc->adapter->deployment_key;
 
-	if (record->key_len == strlen(key) &&
-	    memcmp(record->key, key, record->key_len) == 0 && record->len > 0)
-		sidecar_take_deployment(
-		    sc, record->value, record->len, "store");
+	sc->deployment = deployment_share_get(sc->share);
 }
 
 static void
@@ -191,6 +157,7 @@
 	struct sidecar *sc = arg;
 
 	process_timer_add(sc->tick, TICK_US);
+	deployment_share_tick(sc->share);
 	peers_tick(sc->peers);
 }
 
@@ -208,9 +175,14 @@
 		.topic = FLEET_DEPLOYMENT,
 		.name = "deployment",
 		.wait_us = LONG_POLL_US,
-		.record = on_deployment_record,
+		.record = deployment_share_record,
 		.snapshot_begin = ignore_snapshot,
 		.snapshot_end = ignore_snapshot,
+	};
+	struct deployment_share_options share = {
+		.process = &sc->process,
+		.adapter = sc->adapter,
+		.changed = on_deployment,
 		.ctx = sc,
 	};
 
@@ -219,12 +191,16 @@
 	sc->store = sc->adapter->store->create(&store);
 	if (sc->replica == NULL || sc->store == NULL)
 		return -1;
+	sc->share = deployment_share_create(&share);
+	if (sc->share == NULL)
+		return -1;
 	sc->peers = peers_create(sc);
 	sc->steering = steering_create(sc);
 	if (sc->peers == NULL || sc->steering == NULL ||
 	    serve_metrics(sc) == -1)
 		return -1;
 	feed.store = sc->store;
+	feed.ctx = sc->share;
 	sc->deployment_feed = keyed_feed_create(&feed);
 	return sc->deployment_feed == NULL ? -1 : 0;
 }
@@ -261,8 +237,7 @@
 	peers_destroy(sc->peers);
 	steering_destroy(sc->steering);
 	http_server_destroy(sc->metrics_http);
-	deployment_unref(sc->deployment);
-	free(sc->deployment_doc);
+	deployment_share_destroy(sc->share);
 	if (sc->tick != NULL)
 		event_free(sc->tick);
 	process_close(&sc->process);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -12,6 +12,7 @@
 #include "protocol/fleet.h"
 
 struct deployment;
+struct deployment_share;
 struct engine_spec;
 struct http_server;
 struct keyed_feed;
@@ -42,9 +43,8 @@
 	void *store;
 	void *replica;
 	struct keyed_feed *deployment_feed;
-	struct deployment *deployment;
-	void *deployment_doc;
-	size_t deployment_len;
+	struct deployment_share *share;
+	struct deployment *deployment; /* in force; NULL until the first one */
 	struct http_server *metrics_http;
 	struct peers *peers; /* connected gateways */
 	struct steering *steering; /* what the replica holds and is ordered */
@@ -52,9 +52,6 @@
 	int64_t stop_us;
 };
 
-void sidecar_take_deployment(
-    struct sidecar *, const void *doc, size_t len, const char *from);
-
 /* NULL until a deployment declares the replica's service. */
 const struct engine_spec *sidecar_engine(const struct sidecar *);
 
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -22,6 +22,8 @@
 /* Between orders that are not taken: an unseen one may be under way. */
 #define PAUSE_FIRST_US (50 * USEC_PER_MSEC)
 #define PAUSE_MAX_US (1 * USEC_PER_SEC)
+/* Span over which the share of time spent on prompts is averaged. */
+#define READING_WINDOW_US (2 * USEC_PER_SEC)
 #define WANTS_MAX 128
 #define FENCE 1 /* one holder only: this machine, whatever process runs */
 #define KEY_SIZE (2 * FLEET_NAME_MAX + 2)
@@ -59,6 +61,8 @@
 	char order_adapter[FLEET_NAME_MAX];
 	int64_t last_store_load_us;
 	bool order_from_store;
+	double reading_share; /* of the time, lately */
+	int64_t report_us;
 	int64_t pause_us; /* after an order that was not taken */
 	int64_t pause_until_us;
 	uint64_t *orders;
@@ -410,6 +414,25 @@
 
 /* ---- polling ---- */
 
+static void
+note_reading(struct steering *s, const struct replica_state *state)
+{
+	int64_t now = clock_now(s->sidecar->process.clock);
+	double weight = (double)(now - s->report_us) / READING_WINDOW_US;
+	double reading = state->reading + state->queued > 0 ? 1 : 0;
+
+	if (weight > 1)
+		weight = 1;
+	s->reading_share += weight * (reading - s->reading_share);
+	s->report_us = now;
+}
+
+double
+steering_reading_share(const struct steering *s)
+{
+	return s->reading_share;
+}
+
 static void
 on_report(void *ctx, const struct replica_state *state)
 {
@@ -429,6 +452,7 @@
 			    LF_I("models", state->model_count),
 			    LF_I("in_memory", state->in_memory.count),
 			    LF_I("on_disk", state->on_disk.count));
+		note_reading(s, state);
 		s->known = true;
 		s->state = *state;
 		if (!state->busy) {
--- a/src/sidecar/steering.h
+++ b/src/sidecar/steering.h
@@ -29,6 +29,8 @@
 const struct replica_state *steering_state(const struct steering *);
 /* The model being loaded, and the time that is left; NULL: none. */
 const char *steering_loading(const struct steering *, int64_t *left_us);
+/* Share of the time that the replica lately spent reading prompts. */
+double steering_reading_share(const struct steering *);
 double steering_free_mb(struct steering *);
 int64_t steering_victim_idle_us(struct steering *);
 
--- a/test/property/prop_route.cc
+++ b/test/property/prop_route.cc
@@ -180,7 +180,7 @@
 void
 prop_retry_budget()
 {
-	retry_budget_options o = { 0.2, 10, 4 };
+	retry_budget_options o = { 0.2, 10, 10, 4 };
 	retry_budget *b = retry_budget_create(&o);
 	auto n = *rc::gen::inRange(0, 500);
 	int taken = 0;
