gateway: silent replicas are left, models without a copy are loaded again

Cause: requests stayed with replicas that took them and never answered, until their deadline; a model whose last copy left with its replica was loaded only when its demand came, which took 6 s.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -140,6 +140,7 @@
 	}
 	b->entry = *entry;
 	b->listed = true;
+	b->listed_us = clock_now(g->process.clock);
 	b->slowness = 1;
 	b->victim_idle_us = -1;
 	SLIST_INIT(&b->uses);
@@ -370,3 +371,12 @@
 
 	return spec != NULL && b->free_mb >= spec->size_mb;
 }
+
+bool
+backend_has_copy(const struct backend *b, const char *model)
+{
+	const struct replica_state *s = &b->entry.state;
+
+	return held(s, model) != NULL || strcmp(b->loading, model) == 0 ||
+	       has_copy(&s->in_memory, model) || has_copy(&s->on_disk, model);
+}
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -37,10 +37,12 @@
 	struct replica_entry entry; /* state: the newest known */
 	struct http_client *http;
 	bool listed;
+	int64_t listed_us;
 	int64_t lapse_at_us; /* deleted around an outage; 0: not */
 	unsigned in_flight;
 	uint64_t pending_tokens; /* of prompts sent and not yet read */
 	struct outlier outlier;
+	int64_t usual_us; /* moving average of the time to a whole answer */
 	double slowness; /* measured over predicted; moving average */
 	/* By the sidecar: */
 	bool has_report;
@@ -84,6 +86,9 @@
 int64_t backend_load_us(const struct backend *, const struct engine_spec *,
     const char *model, const char *adapter, int64_t now_us);
 
+/* Whether the model is loaded there, or in its memory or on its disk. */
+bool backend_has_copy(const struct backend *, const char *model);
+
 /* Whether the model fits there without evicting another. */
 bool backend_has_room(
     const struct backend *, const struct service_spec *, const char *model);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -7,15 +7,13 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <xxhash.h>
 
 #include "common/clock.h"
 #include "common/log.h"
-#include "coordination/pace.h"
-#include "coordination/prefix_map.h"
 #include "coordination/retry_budget.h"
 #include "coordination/selection.h"
 #include "gateway/backends.h"
+#include "gateway/candidates.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/sidecar_links.h"
 #include "protocol/caller.h"
@@ -26,10 +24,6 @@
 #define MAX_BACKLOG                                                            \
 	(4 * 1024 * 1024) /* bytes a slow caller may leave unread              \
 			   */
-#define CANDIDATES_MAX 4096
-#define UNREACHABLE_MAX 4 /* connections that may fail for one request */
-#define SPREAD_PAUSE_US (300 * USEC_PER_MSEC) /* between two spreads */
-#define SPREAD_WANT_US (2 * USEC_PER_SEC) /* such a want lapses then */
 #define WANT_AGAIN_US (500 * USEC_PER_MSEC)
 /* Callers return after at most a third of the time they have left. */
 #define RETRY_AFTER_SHARE 0.33
@@ -54,6 +48,7 @@
 	exchange_drop_call(x);
 	TAILQ_REMOVE(&g->exchanges, x, link);
 	event_free(x->timer);
+	event_free(x->silence);
 	evhttp_clear_headers(&x->headers);
 	deployment_unref(x->deployment);
 	free(x);
@@ -174,8 +169,10 @@
 static void
 give_up(struct exchange *x, enum result refused, const char *why)
 {
-	if (x->call != NULL)
+	if (x->call != NULL) {
 		x->may_have_run = true;
+		exchange_note_silence(x);
+	}
 	exchange_drop_call(x);
 	if (x->may_have_run || x->begun)
 		exchange_fail(x, RESULT_DEADLINE_PASSED, why);
@@ -191,137 +188,30 @@
 
 /* ---- choosing ---- */
 
-static bool
-was_tried(const struct exchange *x, const struct backend *b)
-{
-	uint64_t hash = XXH3_64bits(b->entry.id, strlen(b->entry.id));
-
-	for (unsigned i = 0; i < x->tried_count; i++) {
-		if (x->tried[i] == hash)
-			return true;
-	}
-	return false;
-}
-
-/* Tokens of the prompt's head that the replica read before. */
-static uint32_t
-cached_tokens(const struct exchange *x, const struct backend *b)
-{
-	const struct request_terms *t = &x->terms;
-	uint32_t tokens = 0;
-
-	for (unsigned i = 0; i < t->part_count; i++) {
-		uint64_t key = prefix_map_key(
-		    t->model, t->adapter, t->parts[i].id, b->entry.id);
-
-		if (!prefix_map_has(x->gateway->prefixes, key))
-			break;
-		tokens += t->parts[i].tokens;
-	}
-	return tokens;
-}
-
-static void
-fill_candidate(const struct exchange *x, const struct service_spec *service,
-    const struct backend *b, int64_t now, struct select_replica *r)
-{
-	const struct gateway *g = x->gateway;
-
-	memset(r, 0, sizeof(*r));
-	r->id = b->entry.id;
-	r->usable = backend_takes_work(b) && !was_tried(x, b);
-	r->ejected = outlier_ejected(&b->outlier, now);
-	r->same_zone = strcmp(b->entry.zone, g->settings.zone) == 0;
-	r->slots = b->entry.slots;
-	r->running = b->in_flight;
-	if (b->has_report && b->reported + b->sent_since > r->running)
-		r->running = b->reported + b->sent_since;
-	r->pending_tokens = b->pending_tokens > b->gate_tokens
-				? b->pending_tokens
-				: b->gate_tokens;
-	r->cached_tokens = cached_tokens(x, b);
-	r->reading_share = b->has_report ? b->reading_share : 0;
-	r->slowness = b->slowness;
-	r->victim_idle_us = backend_has_room(b, service, x->terms.model)
-				? INT64_MAX
-				: b->victim_idle_us;
-	r->kv_free = b->has_report && b->entry.state.kv_total > 0
-			 ? b->entry.state.kv_total - b->kv_used
-			 : -1;
-	if (service->has_engine && x->terms.model[0] != '\0')
-		r->load_us = backend_load_us(
-		    b, &service->engine, x->terms.model, x->terms.adapter, now);
-}
-
 struct choice {
 	struct backend *backend; /* NULL: none */
 	struct select_choice made;
 	uint32_t new_tokens; /* of the prompt, to read there */
 };
 
-/* Has a busy model loaded on another replica, without waiting for it. */
-static void
-spread(struct exchange *x, const struct select_query *q,
-    const struct select_replica *candidates, struct backend **backends,
-    size_t count)
-{
-	struct gateway *g = x->gateway;
-	int64_t now = clock_now(g->process.clock);
-	struct backend *b;
-	int index;
-
-	if (now - g->spread_us < SPREAD_PAUSE_US)
-		return;
-	index = select_spread(q, candidates, count);
-	if (index == -1)
-		return;
-	b = backends[index];
-	g->spread_us = now;
-	log_info(g->process.logger, "model spread", LF_S("model", q->model),
-	    LF_S("replica", b->entry.id),
-	    LF_I("load_us", candidates[index].load_us));
-	sidecar_links_want(
-	    g->links, b, &x->terms, x->route->rank, SPREAD_WANT_US);
-}
-
 static struct choice
 choose(struct exchange *x, const struct service_spec *service)
 {
-	static struct select_replica candidates[CANDIDATES_MAX];
-	static struct backend *backends[CANDIDATES_MAX];
 	struct gateway *g = x->gateway;
-	struct backend *b = NULL;
-	struct choice choice = { 0 };
-	int64_t now = clock_now(g->process.clock);
-	size_t count = 0;
-	struct select_query q = {
-		.model = x->terms.model,
-		.prompt_tokens = x->terms.prompt_tokens,
-		.answer_tokens = x->terms.expected_tokens != 0
-				     ? x->terms.expected_tokens
-				     : x->terms.max_tokens,
-		.pace = pace_of(g->paces, x->terms.model),
-	};
+	struct candidates *c =
+	    candidates_list(g, service, &x->terms, x->tried, x->tried_count);
+	struct choice choice = { .made = select_replica(
+				     &c->query, c->replicas, c->count) };
+	uint32_t prompt = x->terms.prompt_tokens;
 
-	while ((b = backends_next(g->backends, b)) != NULL &&
-	       count < CANDIDATES_MAX) {
-		if (strcmp(b->entry.service, x->service) != 0 || !b->listed)
-			continue;
-		fill_candidate(x, service, b, now, &candidates[count]);
-		backends[count++] = b;
-	}
-	choice.made = select_replica(&q, candidates, count);
 	if (service->has_engine)
-		spread(x, &q, candidates, backends, count);
+		candidates_spread(g, c, &x->terms, x->route->rank);
 	if (choice.made.index == -1)
 		return choice;
-	choice.backend = backends[choice.made.index];
-	choice.new_tokens = q.prompt_tokens;
-	if (candidates[choice.made.index].cached_tokens < q.prompt_tokens)
-		choice.new_tokens -=
-		    candidates[choice.made.index].cached_tokens;
-	else
-		choice.new_tokens = 0;
+	choice.backend = c->backends[choice.made.index];
+	choice.new_tokens = c->replicas[choice.made.index].cached_tokens;
+	choice.new_tokens =
+	    prompt > choice.new_tokens ? prompt - choice.new_tokens : 0;
 	return choice;
 }
 
@@ -555,6 +445,7 @@
 	TAILQ_INIT(&x->headers);
 	TAILQ_INSERT_TAIL(&g->exchanges, x, link);
 	x->timer = process_timer(&g->process, on_deadline, x);
+	x->silence = process_timer(&g->process, exchange_on_silence, x);
 	x->caller =
 	    caller_create(g->process.base, req, MAX_BACKLOG, on_gone, x);
 	caller_count(x->caller, &g->open);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -35,6 +35,7 @@
 	int64_t arrived_us;
 	int64_t deadline_us;
 	struct event *timer; /* deadline */
+	struct event *silence; /* of the replica: it may be asked elsewhere */
 	bool waiting; /* for a replica */
 	int64_t wanted_us; /* when a load was last asked for */
 
@@ -81,6 +82,10 @@
 
 void exchange_send(
     struct exchange *, struct backend *, int64_t predicted_us, uint32_t tokens);
+/* The replica has been silent for long. */
+void exchange_on_silence(int fd, short what, void *exchange);
+/* The call ends without an answer: counts against the replica. */
+void exchange_note_silence(struct exchange *);
 /* Breaks the call off and lets go of the replica. */
 void exchange_drop_call(struct exchange *);
 
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -4,7 +4,7 @@
 
 #include <bsd/sys/queue.h>
 #include <event2/buffer.h>
-#include <xxhash.h>
+#include <event2/event.h>
 
 #include "common/clock.h"
 #include "common/log.h"
@@ -13,6 +13,7 @@
 #include "coordination/retry_budget.h"
 #include "coordination/selection.h"
 #include "gateway/backends.h"
+#include "gateway/candidates.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/sidecar_links.h"
 #include "protocol/caller.h"
@@ -26,6 +27,16 @@
 #define SEND_MIN_US (5 * USEC_PER_MSEC)
 /* Shorter prompts do not hold streams up. */
 #define READ_ASK_TOKENS 1500
+/*
+ * A replica that is silent for longer is asked no more where another may run
+ * the request: a part of the goal, unless answers usually take longer.
+ */
+#define SILENCE_GOAL_SHARE 0.5
+#define SILENCE_USUAL 4 /* times the usual time of an answer */
+#define SILENCE_PREDICTED 6 /* times the predicted time to a stream's start */
+/* Between pieces of a stream; callers leave after about twice that. */
+#define SILENCE_PIECE_US (2500 * USEC_PER_MSEC)
+#define USUAL_WEIGHT 0.1 /* of the newest answer */
 #define SLOWNESS_WEIGHT 0.15 /* of the newest first piece */
 #define SLOWNESS_MIN 0.5
 #define SLOWNESS_MAX 8.0
@@ -120,6 +131,7 @@
 
 	if (b == NULL)
 		return;
+	event_del(x->silence);
 	settle_pending(x);
 	b->in_flight--;
 	if (x->terms.model[0] != '\0') {
@@ -173,12 +185,48 @@
 		    LF_I("for_us", b->outlier.ejected_until_us - now));
 }
 
+/* Time that the replica may be silent for now; 0: for ever. */
+static int64_t
+silence_us(const struct exchange *x)
+{
+	int64_t goal_us = x->route->goal_us;
+
+	if (!route_may_repeat(x->route) ||
+	    x->attempts >= x->route->max_attempts)
+		return 0;
+	if (x->code != 0 && x->relaying)
+		return SILENCE_PIECE_US;
+	if (x->route->kind == ROUTE_STREAM)
+		return goal_us > SILENCE_PREDICTED * x->predicted_us
+			   ? goal_us
+			   : SILENCE_PREDICTED * x->predicted_us;
+	goal_us = (int64_t)((double)goal_us * SILENCE_GOAL_SHARE);
+	return goal_us > SILENCE_USUAL * x->backend->usual_us
+		   ? goal_us
+		   : SILENCE_USUAL * x->backend->usual_us;
+}
+
+static void
+watch_silence(struct exchange *x)
+{
+	int64_t us = silence_us(x);
+
+	if (us > 0)
+		process_timer_add(x->silence, us);
+}
+
+void
+exchange_note_silence(struct exchange *x)
+{
+	if (x->code == 0 || x->relaying)
+		note_outcome(x, OUTLIER_FAILED);
+}
+
 static void
 note_tried(struct exchange *x, const struct backend *b)
 {
 	if (x->tried_count < EXCHANGE_TRIED_MAX)
-		x->tried[x->tried_count++] =
-		    XXH3_64bits(b->entry.id, strlen(b->entry.id));
+		x->tried[x->tried_count++] = candidates_hash(b);
 }
 
 /* The first piece came: the prompt has been read there. */
@@ -256,6 +304,19 @@
 		exchange_fail(x, RESULT_OUTCOME_UNKNOWN, why);
 }
 
+void
+exchange_on_silence(int fd, short what, void *arg)
+{
+	struct exchange *x = arg;
+
+	if (x->call == NULL || !may_send_again(x))
+		return;
+	exchange_note_silence(x);
+	x->may_have_run = true;
+	exchange_drop_call(x);
+	send_again(x, "replica is silent");
+}
+
 static void
 after_unreachable(struct exchange *x)
 {
@@ -348,6 +409,7 @@
 	    x->caller, evbuffer_pullup(buf, (ev_ssize_t)ev->len), ev->len);
 	evbuffer_drain(buf, ev->len);
 	note_piece(x);
+	watch_silence(x);
 	if (ev->has_id) {
 		x->has_last = true;
 		x->last_event = ev->id;
@@ -394,6 +456,17 @@
 	exchange_finish(x, "whole");
 }
 
+static void
+note_usual(struct exchange *x)
+{
+	struct backend *b = x->backend;
+	int64_t took = clock_now(x->gateway->process.clock) - x->sent_us;
+
+	if (b->usual_us == 0)
+		b->usual_us = took;
+	b->usual_us += (int64_t)(USUAL_WEIGHT * (double)(took - b->usual_us));
+}
+
 static void
 on_answer(struct exchange *x, struct evbuffer *body)
 {
@@ -412,6 +485,7 @@
 		return;
 	}
 	note_outcome(x, x->code >= 500 ? OUTLIER_ERROR : OUTLIER_OK);
+	note_usual(x);
 	release_backend(x);
 	if (x->begun && !ok) {
 		after_lost(x, "stream could not go on");
@@ -491,6 +565,7 @@
 	    LF_I("tokens", x->pending_tokens), LF_I("in_flight", b->in_flight),
 	    LF_I("reported", b->reported), LF_I("left_us", terms.deadline_us));
 	x->call = http_client_call(b->http, &opts);
+	watch_silence(x);
 }
 
 /* ---- leave to have a long prompt read ---- */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -19,6 +19,7 @@
 #include "coordination/prefix_map.h"
 #include "coordination/retry_budget.h"
 #include "gateway/backends.h"
+#include "gateway/candidates.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/sidecar_links.h"
@@ -29,8 +30,11 @@
 
 #define TICK_US (50 * USEC_PER_MSEC)
 #define LONG_POLL_US (25 * USEC_PER_SEC)
-/* Gathers the changes of many replicas into one call; drains allow 2 s. */
-#define REPLICA_PAUSE_US (400 * USEC_PER_MSEC)
+/*
+ * Gathers the changes of many replicas into one call.  Sidecars tell at once
+ * when their replica drains; for the others the store allows 2 s.
+ */
+#define REPLICA_PAUSE_US (1100 * USEC_PER_MSEC)
 #define IDLE_TIMEOUT_US (60 * USEC_PER_SEC) /* beyond what callers may idle */
 #define MAX_BODY (8 * 1024 * 1024) /* bytes; the deployment sets less */
 #define MAX_HEADERS 65536 /* bytes; likewise */
@@ -253,6 +257,8 @@
 	deployment_share_tick(g->share);
 	sidecar_links_tick(g->links);
 	exchanges_review(g);
+	if (g->stop_us == 0)
+		candidates_guard(g);
 	if (g->stop_us != 0)
 		check_stopped(g);
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -73,6 +73,7 @@
 	struct model_pace *paces;
 	struct rng rng;
 	uint64_t read_ids; /* used for leave to read prompts */
+	int64_t guard_us; /* when lost models were last looked for */
 	int64_t spread_us; /* when a model was last spread */
 	struct event *tick;
 	int64_t stop_us; /* when SIGTERM came; 0: runs */
