gateway: what a new replica holds is in doubt until its sidecar tells

Cause: after a loss of power entries of the store told models that replicas had held before; requests were answered 421 and refused.

--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -13,7 +13,7 @@
 /* Mean wait behind the prompt that is being read, at a share of 1. */
 #define READING_US 250000
 /* Streams pause for too long where prompts are read most of the time. */
-#define SPREAD_SHARE 0.25
+#define SPREAD_SHARE 0.45
 /* Copies in the replica's memory or on its disk load within this time. */
 #define SPREAD_LOAD_US 1500000
 /* A full replica queues: about the time until a place falls free. */
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -23,6 +23,12 @@
 #define DEAD_PEER_US (3 * USEC_PER_SEC)
 #define MAX_ANSWER (64 * 1024 * 1024) /* bytes */
 #define ADAPTER_LOAD_US (20 * USEC_PER_MSEC) /* an order and a report */
+/*
+ * An entry may tell what a replica held before it started again; the sidecar's
+ * word comes within a few round trips.
+ */
+#define DOUBT_NEW_US (1500 * USEC_PER_MSEC)
+#define DOUBT_REFUSED_US (300 * USEC_PER_MSEC)
 #define UNLOAD_US (50 * USEC_PER_MSEC)
 
 struct backends {
@@ -143,6 +149,7 @@
 	b->listed_us = clock_now(g->process.clock);
 	b->slowness = 1;
 	b->victim_idle_us = -1;
+	b->doubt_until_us = b->listed_us + DOUBT_NEW_US;
 	SLIST_INIT(&b->uses);
 	TAILQ_INSERT_TAIL(&all->list, b, link);
 	all->count++;
@@ -334,6 +341,8 @@
 	int64_t extra = adapter[0] == '\0' ? 0 : ADAPTER_LOAD_US;
 	int64_t us;
 
+	if (now_us < b->doubt_until_us)
+		return b->doubt_until_us - now_us;
 	if (m != NULL && (extra == 0 || has_adapter(m, adapter)))
 		return 0;
 	if (b->conn == NULL || spec == NULL)
@@ -362,6 +371,12 @@
 	return us + extra;
 }
 
+void
+backend_doubt(struct backend *b, int64_t now_us)
+{
+	b->doubt_until_us = now_us + DOUBT_REFUSED_US;
+}
+
 bool
 backend_has_room(const struct backend *b, const struct service_spec *service,
     const char *model)
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -46,6 +46,7 @@
 	double slowness; /* measured over predicted; moving average */
 	/* By the sidecar: */
 	bool has_report;
+	int64_t doubt_until_us; /* what it holds is not known for sure */
 	int64_t report_us;
 	unsigned reported; /* running and queued at the report */
 	unsigned sent_since; /* by this gateway */
@@ -93,6 +94,9 @@
 bool backend_has_room(
     const struct backend *, const struct service_spec *, const char *model);
 
+/* A replica refused what it should hold. */
+void backend_doubt(struct backend *, int64_t now_us);
+
 struct backend_use *backend_use(
     struct backend *, const char *model, const char *adapter);
 
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -23,6 +23,7 @@
 #include "transport/http_server.h"
 
 #define HEADERS_MAX 96
+#define HTTP_MISDIRECTED 421 /* RFC 9110, section 15.5.20 */
 /* Less time than this left is no use to a replica. */
 #define SEND_MIN_US (5 * USEC_PER_MSEC)
 /* Shorter prompts do not hold streams up. */
@@ -473,7 +474,11 @@
 	bool ok = x->code >= 200 && x->code < 300;
 
 	if (x->facts.not_run) {
-		note_outcome(x, OUTLIER_ERROR);
+		if (x->code == HTTP_MISDIRECTED)
+			backend_doubt(
+			    x->backend, clock_now(x->gateway->process.clock));
+		else
+			note_outcome(x, OUTLIER_ERROR);
 		release_backend(x);
 		after_not_run(x, "replica did not run it");
 		return;
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -113,6 +113,7 @@
 		return;
 	}
 	b->has_report = true;
+	b->doubt_until_us = 0;
 	copy_models(s, told);
 	copy_names(&s->in_memory, told->in_memory.in_memory_len,
 	    told->in_memory.in_memory_val);
