gateway: later incarnations end earlier ones; busy models get a second replica

Cause: after a loss of power replicas start again empty, mostly under another id. Gateways trusted entries of the earlier incarnation until they lapsed: requests were answered 421 and refused. Where no replica was listed, callers were refused within milliseconds though replicas return within two heartbeats, and a caller comes back once. A model that one replica held alone stopped for a load when that replica crashed.

Now an address serves its latest incarnation only, what a new replica holds is in doubt until its sidecar tells, requests wait up to 2 s for a replica to be listed, and a model in steady demand is loaded a second time where a copy is at hand.

--- /dev/null
+++ b/src/coordination/model_rate.c
@@ -0,0 +1,79 @@
+#include "coordination/model_rate.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "common/clock.h"
+
+#define FORGET_US (3 * USEC_PER_SEC) /* a request counts e times less then */
+#define MODELS_MAX 1024 /* later ones have no rate */
+
+struct entry {
+	char *model;
+	double weight; /* of past requests, at noted_us */
+	int64_t noted_us;
+	UT_hash_handle hh;
+};
+
+struct model_rates {
+	struct entry *entries;
+};
+
+struct model_rates *
+model_rates_create(void)
+{
+	return calloc(1, sizeof(struct model_rates));
+}
+
+void
+model_rates_destroy(struct model_rates *r)
+{
+	struct entry *e, *next;
+
+	if (r == NULL)
+		return;
+	HASH_ITER(hh, r->entries, e, next) {
+		HASH_DEL(r->entries, e);
+		free(e->model);
+		free(e);
+	}
+	free(r);
+}
+
+static double
+faded(const struct entry *e, int64_t now_us)
+{
+	return e->weight *
+	       exp(-(double)(now_us - e->noted_us) / (double)FORGET_US);
+}
+
+void
+model_rates_note(struct model_rates *r, const char *model, int64_t now_us)
+{
+	struct entry *e;
+
+	HASH_FIND_STR(r->entries, model, e);
+	if (e == NULL) {
+		if (HASH_COUNT(r->entries) >= MODELS_MAX)
+			return;
+		e = calloc(1, sizeof(*e));
+		if (e == NULL || (e->model = strdup(model)) == NULL)
+			abort();
+		HASH_ADD_KEYPTR(hh, r->entries, e->model, strlen(e->model), e);
+	}
+	e->weight = faded(e, now_us) + 1;
+	e->noted_us = now_us;
+}
+
+double
+model_rates_get(const struct model_rates *r, const char *model, int64_t now_us)
+{
+	struct entry *e;
+
+	HASH_FIND_STR(r->entries, model, e);
+	return e == NULL ? 0
+			 : faded(e, now_us) * USEC_PER_SEC / (double)FORGET_US;
+}
--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -14,6 +14,9 @@
 #define READING_US 250000
 /* Streams pause for too long where prompts are read most of the time. */
 #define SPREAD_SHARE 0.45
+/* A model asked for as often should survive the loss of a replica. */
+#define SPREAD_RATE 0.5
+#define SPREAD_REPLICAS 2
 /* Copies in the replica's memory or on its disk load within this time. */
 #define SPREAD_LOAD_US 1500000
 /* A full replica queues: about the time until a place falls free. */
@@ -110,22 +113,42 @@
 	return best.index != -1 ? best : choose(q, replicas, count, true);
 }
 
+/* Time that a further load may take; 0: none is called for. */
+static int64_t
+spread_load_us(const struct select_query *q,
+    const struct select_replica *replicas, size_t count)
+{
+	unsigned holders = 0;
+	bool idle = false;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct select_replica *r = &replicas[i];
+
+		if (!r->usable || r->load_us != 0)
+			continue;
+		holders++;
+		if (!r->ejected && r->reading_share < SPREAD_SHARE)
+			idle = true;
+	}
+	if (holders > 0 && holders < SPREAD_REPLICAS && q->rate >= SPREAD_RATE)
+		return SPREAD_LOAD_US;
+	return idle ? 0 : SPREAD_LOAD_US;
+}
+
 int
 select_spread(const struct select_query *q,
     const struct select_replica *replicas, size_t count)
 {
-	int best = -1;
+	int64_t most_us = spread_load_us(q, replicas, count);
 	int64_t best_cost = 0;
+	int best = -1;
 
 	for (size_t i = 0; i < count; i++) {
 		const struct select_replica *r = &replicas[i];
 		int64_t cost;
 
-		if (!r->usable || r->ejected || r->load_us == SELECT_LOAD_NEVER)
-			continue;
-		if (r->load_us == 0 && r->reading_share < SPREAD_SHARE)
-			return -1; /* one that holds it has time left */
-		if (r->load_us == 0 || r->load_us > SPREAD_LOAD_US ||
+		if (!r->usable || r->ejected || r->load_us <= 0 ||
+		    r->load_us > most_us ||
 		    r->victim_idle_us < VICTIM_WARM_US ||
 		    r->reading_share >= SPREAD_SHARE)
 			continue;
--- a/src/coordination/selection.h
+++ b/src/coordination/selection.h
@@ -37,6 +37,7 @@
 	const char *model; /* "": a plain service */
 	uint32_t prompt_tokens;
 	uint32_t answer_tokens; /* expected */
+	double rate; /* requests a second for the model, at this gateway */
 	double pace; /* of the model: measured over default time */
 };
 
@@ -50,8 +51,10 @@
     const struct select_query *, const struct select_replica *, size_t count);
 
 /*
- * Where the model should be loaded besides, or -1: all replicas that hold it
- * spend much of their time on prompts, and one that has a copy at hand is free.
+ * Where the model should be loaded besides, or -1.  Answers two loads: replicas
+ * that hold the model spend much of their time on prompts, and one that has a
+ * copy at hand is free; or one replica alone holds a model in steady demand,
+ * whose loss would stop it for as long as a load takes.
  */
 int select_spread(
     const struct select_query *, const struct select_replica *, size_t count);
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -93,7 +93,7 @@
 bool
 backend_takes_work(const struct backend *b)
 {
-	return b->listed && !b->entry.state.draining;
+	return b->listed && !b->superseded && !b->entry.state.draining;
 }
 
 static struct backend *
@@ -182,6 +182,26 @@
 	}
 }
 
+/*
+ * An address serves one incarnation; entries of earlier ones lapse later.
+ * False if a later one is listed already.
+ */
+static bool
+take_address(struct backends *all, const struct replica_entry *e)
+{
+	struct backend *b, *next;
+
+	TAILQ_FOREACH_SAFE(b, &all->list, link, next) {
+		if (!b->listed || strcmp(b->entry.address, e->address) != 0 ||
+		    strcmp(b->entry.id, e->id) == 0)
+			continue;
+		if (b->entry.state.born_ms > e->state.born_ms)
+			return false;
+		retire(all, b, "address has a later incarnation");
+	}
+	return true;
+}
+
 static void
 upsert(struct backends *all, const struct replica_entry *e)
 {
@@ -194,7 +214,8 @@
 		b = NULL;
 	}
 	if (b == NULL) {
-		add(all, e);
+		if (take_address(all, e))
+			add(all, e);
 		return;
 	}
 	b->lapse_at_us = 0;
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -37,6 +37,7 @@
 	struct replica_entry entry; /* state: the newest known */
 	struct http_client *http;
 	bool listed;
+	bool superseded; /* another incarnation has its address */
 	int64_t listed_us;
 	int64_t lapse_at_us; /* deleted around an outage; 0: not */
 	unsigned in_flight;
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -8,6 +8,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "coordination/model_rate.h"
 #include "coordination/pace.h"
 #include "coordination/prefix_map.h"
 #include "gateway/backends.h"
@@ -108,6 +109,7 @@
 	c.query.answer_tokens = terms->expected_tokens != 0
 				    ? terms->expected_tokens
 				    : terms->max_tokens;
+	c.query.rate = model_rates_get(g->rates, terms->model, now);
 	c.query.pace = pace_of(g->paces, terms->model);
 	while ((b = backends_next(g->backends, b)) != NULL &&
 	       c.count < CANDIDATES_MAX) {
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "coordination/model_rate.h"
 #include "coordination/retry_budget.h"
 #include "coordination/selection.h"
 #include "gateway/backends.h"
@@ -24,6 +25,7 @@
 #define MAX_BACKLOG                                                            \
 	(4 * 1024 * 1024) /* bytes a slow caller may leave unread              \
 			   */
+#define WAIT_REPLICA_US (2 * USEC_PER_SEC) /* for one to be listed */
 #define WANT_AGAIN_US (500 * USEC_PER_MSEC)
 /* Callers return after at most a third of the time they have left. */
 #define RETRY_AFTER_SHARE 0.33
@@ -234,6 +236,19 @@
 	    exchange_left_us(x));
 }
 
+/*
+ * Replicas that started again are listed within two heartbeats; most callers
+ * come back only once.
+ */
+static bool
+may_wait_for_replica(const struct exchange *x)
+{
+	int64_t now = clock_now(x->gateway->process.clock);
+
+	return x->tried_count == 0 && now - x->arrived_us < WAIT_REPLICA_US &&
+	       exchange_left_us(x) > WAIT_REPLICA_US;
+}
+
 void
 exchange_dispatch(struct exchange *x)
 {
@@ -246,6 +261,10 @@
 		return;
 	}
 	choice = choose(x, service);
+	if (choice.backend == NULL && may_wait_for_replica(x)) {
+		x->waiting = true;
+		return;
+	}
 	if (choice.backend == NULL) {
 		exchange_refuse(x, RESULT_BACKEND_UNREACHABLE,
 		    "no replica can run it", 500 * USEC_PER_MSEC);
@@ -451,6 +470,7 @@
 	caller_count(x->caller, &g->open);
 	set_deadline(x);
 	retry_budget_note(g->budget, x->service);
+	model_rates_note(g->rates, x->terms.model, x->arrived_us);
 	exchange_dispatch(x);
 }
 
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -468,6 +468,22 @@
 	b->usual_us += (int64_t)(USUAL_WEIGHT * (double)(took - b->usual_us));
 }
 
+/* Another incarnation answered, or one that does not hold the model. */
+static void
+note_misdirected(struct exchange *x)
+{
+	struct backend *b = x->backend;
+
+	if (x->facts.replica[0] != '\0' &&
+	    strcmp(x->facts.replica, b->entry.id) != 0)
+		b->superseded = true;
+	else
+		backend_doubt(b, clock_now(x->gateway->process.clock));
+	log_info(x->gateway->process.logger, "replica refused as misdirected",
+	    LF_S("request", x->terms.id), LF_S("replica", b->entry.id),
+	    LF_S("answered_by", x->facts.replica));
+}
+
 static void
 on_answer(struct exchange *x, struct evbuffer *body)
 {
@@ -475,8 +491,7 @@
 
 	if (x->facts.not_run) {
 		if (x->code == HTTP_MISDIRECTED)
-			backend_doubt(
-			    x->backend, clock_now(x->gateway->process.clock));
+			note_misdirected(x);
 		else
 			note_outcome(x, OUTLIER_ERROR);
 		release_backend(x);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,6 +15,7 @@
 #include "common/reload.h"
 #include "coordination/deployment_share.h"
 #include "coordination/keyed_feed.h"
+#include "coordination/model_rate.h"
 #include "coordination/pace.h"
 #include "coordination/prefix_map.h"
 #include "coordination/retry_budget.h"
@@ -315,11 +316,12 @@
 	g->budget = retry_budget_create(&retries);
 	g->prefixes = prefix_map_create(PREFIXES);
 	g->paces = pace_create();
+	g->rates = model_rates_create();
 	g->backends = backends_create(g);
 	g->links = sidecar_links_create(g);
 	return g->share == NULL || g->budget == NULL || g->prefixes == NULL ||
-		       g->paces == NULL || g->backends == NULL ||
-		       g->links == NULL
+		       g->paces == NULL || g->rates == NULL ||
+		       g->backends == NULL || g->links == NULL
 		   ? -1
 		   : 0;
 }
@@ -416,6 +418,7 @@
 	g->links = NULL;
 	backends_destroy(g->backends);
 	pace_destroy(g->paces);
+	model_rates_destroy(g->rates);
 	prefix_map_destroy(g->prefixes);
 	retry_budget_destroy(g->budget);
 	deployment_share_destroy(g->share);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -20,6 +20,7 @@
 struct keyed_feed;
 struct sidecar_links;
 struct model_pace;
+struct model_rates;
 struct prefix_map;
 struct retry_budget;
 
@@ -71,6 +72,7 @@
 	struct retry_budget *budget;
 	struct prefix_map *prefixes;
 	struct model_pace *paces;
+	struct model_rates *rates;
 	struct rng rng;
 	uint64_t read_ids; /* used for leave to read prompts */
 	int64_t guard_us; /* when lost models were last looked for */
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -110,6 +110,13 @@
 	if (told->born_ms != s->born_ms) {
 		/* Not the incarnation listed here: the list will follow. */
 		b->has_report = false;
+		if (told->born_ms > s->born_ms && !b->superseded) {
+			b->superseded = true;
+			log_info(l->gateway->process.logger,
+			    "replica started again",
+			    LF_S("replica", b->entry.id),
+			    LF_I("born_ms", told->born_ms));
+		}
 		return;
 	}
 	b->has_report = true;
