coordination: loads from the weight store by permits of the platform's log

Cause: each sidecar kept a pause between its own loads, which bounds nothing when many load at once: 24 sidecars could begin 24 loads within a window that allows 14. Now a load is recorded by a conditional append first, and only while the window has room; a daemon that cannot reach the store loads once in 9 s at most. Ruled out: a lease holder that grants permits (a process more to lose, and calls all the time; this costs one append a load), fixed shares (most of the rate stays unused when one replica needs two models).

--- /dev/null
+++ b/src/coordination/load_permit.h
@@ -0,0 +1,42 @@
+/*
+ * load_permit -- leave to load from the weight store, from the platform's log.
+ *
+ * A daemon appends a record on condition that the log ends where it has read
+ * to, and only if the window allows one more: so all daemons together stay
+ * within the ceiling, with no lease and no holder.  Where the store cannot be
+ * asked, a daemon loads once in `alone_us` at most.
+ */
+#ifndef COORDINATION_LOAD_PERMIT_H
+#define COORDINATION_LOAD_PERMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "protocol/fleet.h"
+
+struct load_permit;
+struct process;
+
+struct load_permit_options {
+	struct process *process;
+	const struct fleet_store_ops *ops;
+	void *store;
+	int64_t window_us;
+	double overage;
+	int64_t alone_us;
+	void (*granted)(void *ctx);
+	void *ctx;
+};
+
+struct load_permit *load_permit_create(const struct load_permit_options *);
+void load_permit_destroy(struct load_permit *);
+
+/* Asks for one load; granted() follows once it may begin.  rate: a second. */
+void load_permit_ask(struct load_permit *, double rate);
+
+/* Whether a load may begin; takes the permit if so. */
+bool load_permit_take(struct load_permit *);
+/* Whether one could be taken. */
+bool load_permit_held(const struct load_permit *);
+
+#endif
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -51,9 +51,15 @@
 	    "ms", "likewise while requests wait for an order", true },
 	{ "replica", "min_keep_ms", OPT_INT, AT(min_keep_ms), 0, 3600000, "500",
 	    "ms", "a model is kept at least so long after its use", true },
-	{ "replica", "store_load_gap_ms", OPT_INT, AT(store_load_gap_ms), 0,
-	    3600000, "9000", "ms",
-	    "pause between two loads from the weight store", true },
+	{ "loads", "window_ms", OPT_INT, AT(load_window_ms), 100, 3600000,
+	    "5000", "ms", "window over which loads from the weight store count",
+	    false },
+	{ "loads", "overage", OPT_REAL, AT(load_overage), 0, 100, "1", NULL,
+	    "loads that are allowed in a window, over those of the rate",
+	    false },
+	{ "loads", "alone_ms", OPT_INT, AT(load_alone_ms), 0, 3600000, "9000",
+	    "ms", "pause between two such loads while the store is away",
+	    true },
 	OPTION_END,
 };
 
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -32,7 +32,9 @@
 	int64_t poll_ms;
 	int64_t busy_poll_ms;
 	int64_t min_keep_ms;
-	int64_t store_load_gap_ms;
+	int64_t load_window_ms;
+	double load_overage;
+	int64_t load_alone_ms;
 };
 
 struct sidecar {
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -11,6 +11,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "coordination/load_permit.h"
 #include "coordination/swap.h"
 #include "protocol/tm_xdr.h"
 #include "sidecar/peers.h"
@@ -59,8 +60,7 @@
 	bool order_is_load;
 	char order_model[FLEET_NAME_MAX];
 	char order_adapter[FLEET_NAME_MAX];
-	int64_t last_store_load_us;
-	bool order_from_store;
+	struct load_permit *permit; /* for loads from the weight store */
 	double reading_share; /* of the time, lately */
 	int64_t report_us;
 	int64_t pause_us; /* after an order that was not taken */
@@ -69,6 +69,7 @@
 	uint64_t *store_loads;
 };
 
+static void decide(struct steering *);
 static void poll_soon(struct steering *);
 
 /* ---- uses ---- */
@@ -243,17 +244,9 @@
 	       !on_hand(&s->state.on_disk, model);
 }
 
-static bool
-store_load_allowed(const struct steering *s, int64_t now)
-{
-	return s->last_store_load_us == 0 ||
-	       now - s->last_store_load_us >=
-		   s->sidecar->settings.store_load_gap_ms * USEC_PER_MSEC;
-}
-
 static void
-view_wants(struct steering *s, const struct engine_spec *engine,
-    struct swap_view *v, int64_t now)
+view_wants(
+    struct steering *s, const struct engine_spec *engine, struct swap_view *v)
 {
 	for (size_t i = 0; i < s->want_count; i++) {
 		const struct want *w = &s->wants[i];
@@ -269,7 +262,9 @@
 		out->size_mb = spec->size_mb;
 		out->adapter_mb = spec->adapter_mb;
 		out->may_load =
-		    !from_store(s, w->model) || store_load_allowed(s, now);
+		    !from_store(s, w->model) || load_permit_held(s->permit);
+		if (!out->may_load && held(s, w->model) == NULL)
+			load_permit_ask(s->permit, engine->loads_per_s);
 		v->in.want_count++;
 	}
 }
@@ -294,7 +289,7 @@
 		view_model(s, engine, &s->state.models[i], &v->models[i],
 		    v->adapters[i]);
 	v->in.model_count = s->state.model_count;
-	view_wants(s, engine, v, now);
+	view_wants(s, engine, v);
 	return 0;
 }
 
@@ -380,7 +375,6 @@
 	    sizeof(s->order_adapter));
 	if (s->order_is_load && step->adapter == NULL &&
 	    from_store(s, step->model)) {
-		s->last_store_load_us = clock_now(sc->process.clock);
 		(*s->store_loads)++;
 	}
 	(*s->orders)++;
@@ -409,6 +403,9 @@
 	step = swap_next(&v.in);
 	if (step.op == SWAP_NONE)
 		return;
+	if (step.op == SWAP_LOAD && step.adapter == NULL &&
+	    from_store(s, step.model) && !load_permit_take(s->permit))
+		return;
 	send_order(s, &step);
 }
 
@@ -485,15 +482,36 @@
 		process_timer_add(s->poll, 0);
 }
 
+static void
+on_permit(void *ctx)
+{
+	decide(ctx);
+}
+
 struct steering *
 steering_create(struct sidecar *sc)
 {
 	struct steering *s = calloc(1, sizeof(*s));
+	struct load_permit_options permit = {
+		.process = &sc->process,
+		.ops = sc->adapter->store,
+		.store = sc->store,
+		.window_us = sc->settings.load_window_ms * USEC_PER_MSEC,
+		.overage = sc->settings.load_overage,
+		.alone_us = sc->settings.load_alone_ms * USEC_PER_MSEC,
+		.granted = on_permit,
+	};
 
 	if (s == NULL)
 		return NULL;
 	s->sidecar = sc;
 	s->pause_us = PAUSE_FIRST_US;
+	permit.ctx = s;
+	s->permit = load_permit_create(&permit);
+	if (s->permit == NULL) {
+		free(s);
+		return NULL;
+	}
 	s->orders =
 	    metrics_counter(sc->process.metrics, "sidecar_orders_total", "");
 	s->store_loads = metrics_counter(
@@ -514,6 +532,7 @@
 		HASH_DEL(s->uses, use);
 		free(use);
 	}
+	load_permit_destroy(s->permit);
 	event_free(s->poll);
 	free(s);
 }
