gateway: refuse streams whose callers would leave first; lost models only

Cause: callers abandon a stream that has not begun after several times its goals, long before their deadline: waiting for a load of 6 s was lost, and was priced as held to the end. A refused request had nothing loaded, so callers came back to the same refusal. The guard loaded models that never had a copy: with 165 models in 147 places it kept replicas busy with loads of 8 s.

--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -1,9 +1,10 @@
 #include "gateway/candidates.h"
 
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <bsd/string.h>
+#include <uthash.h>
 #include <xxhash.h>
 
 #include "common/clock.h"
@@ -145,6 +146,47 @@
 
 /* ---- models without a copy ---- */
 
+/* A model that had a copy while this gateway ran. */
+struct kept_model {
+	char name[FLEET_NAME_MAX];
+	UT_hash_handle hh;
+};
+
+static void
+note_kept(struct gateway *g, const char *model)
+{
+	struct kept_model *kept;
+
+	HASH_FIND_STR(g->kept, model, kept);
+	if (kept != NULL)
+		return;
+	kept = calloc(1, sizeof(*kept));
+	if (kept == NULL)
+		abort();
+	strlcpy(kept->name, model, sizeof(kept->name));
+	HASH_ADD_STR(g->kept, name, kept);
+}
+
+static bool
+was_kept(const struct gateway *g, const char *model)
+{
+	struct kept_model *kept;
+
+	HASH_FIND_STR(g->kept, model, kept);
+	return kept != NULL;
+}
+
+void
+candidates_forget(struct gateway *g)
+{
+	struct kept_model *kept, *next;
+
+	HASH_ITER(hh, g->kept, kept, next) {
+		HASH_DEL(g->kept, kept);
+		free(kept);
+	}
+}
+
 /* Whether every replica of the service has told what it holds. */
 static bool
 all_known(struct gateway *g, const struct service_spec *service, int64_t now)
@@ -212,8 +254,12 @@
 		if (!s->has_engine || !all_known(g, s, now))
 			continue;
 		for (size_t m = 0; m < s->engine.model_count; m++) {
-			if (!has_any_copy(g, s, s->engine.models[m].name)) {
-				load_again(g, s, &s->engine.models[m]);
+			const struct model_spec *spec = &s->engine.models[m];
+
+			if (has_any_copy(g, s, spec->name)) {
+				note_kept(g, spec->name);
+			} else if (was_kept(g, spec->name)) {
+				load_again(g, s, spec);
 				break;
 			}
 		}
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -41,5 +41,7 @@
  * store takes longer than most callers wait.  Call it every tick.
  */
 void candidates_guard(struct gateway *);
+/* Frees what the guard remembers. */
+void candidates_forget(struct gateway *);
 
 #endif
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -25,7 +25,12 @@
 #define MAX_BACKLOG                                                            \
 	(4 * 1024 * 1024) /* bytes a slow caller may leave unread              \
 			   */
+/* Callers' patience with a silent stream: the longest of these. */
+#define PATIENCE_MIN_US (2 * USEC_PER_SEC)
+#define PATIENCE_GOALS 4 /* times the goal for the first piece */
+#define PATIENCE_GAPS 8 /* times the goal for pauses */
 #define WAIT_REPLICA_US (2 * USEC_PER_SEC) /* for one to be listed */
+#define WANT_REFUSED_US (5 * USEC_PER_SEC) /* until the caller is back */
 #define WANT_AGAIN_US (500 * USEC_PER_MSEC)
 /* Callers return after at most a third of the time they have left. */
 #define RETRY_AFTER_SHARE 0.33
@@ -236,6 +241,26 @@
 	    exchange_left_us(x));
 }
 
+/*
+ * Time until the caller stops waiting for the first piece: callers abandon a
+ * stream, also before it begins, after a pause of several times its goals.
+ */
+static int64_t
+patience_left_us(const struct exchange *x)
+{
+	const struct route *r = x->route;
+	int64_t waited = clock_now(x->gateway->process.clock) - x->arrived_us;
+	int64_t left = exchange_left_us(x), patience = PATIENCE_MIN_US;
+
+	if (r->kind != ROUTE_STREAM || x->begun)
+		return left;
+	if (patience < PATIENCE_GOALS * r->goal_us)
+		patience = PATIENCE_GOALS * r->goal_us;
+	if (patience < PATIENCE_GAPS * r->gap_goal_us)
+		patience = PATIENCE_GAPS * r->gap_goal_us;
+	return left < patience - waited ? left : patience - waited;
+}
+
 /*
  * Replicas that started again are listed within two heartbeats; most callers
  * come back only once.
@@ -270,7 +295,11 @@
 		    "no replica can run it", 500 * USEC_PER_MSEC);
 		return;
 	}
-	if (choice.made.first_us > exchange_left_us(x)) {
+	if (choice.made.first_us > patience_left_us(x)) {
+		/* Callers come back, and others ask for it too. */
+		if (choice.made.load_us > 0)
+			sidecar_links_want(x->gateway->links, choice.backend,
+			    &x->terms, x->route->rank, WANT_REFUSED_US);
 		exchange_refuse(x, RESULT_DEADLINE_UNREACHABLE,
 		    "predicted first piece is too late", choice.made.first_us);
 		return;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -417,6 +417,7 @@
 	sidecar_links_destroy(g->links);
 	g->links = NULL;
 	backends_destroy(g->backends);
+	candidates_forget(g);
 	pace_destroy(g->paces);
 	model_rates_destroy(g->rates);
 	prefix_map_destroy(g->prefixes);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -17,6 +17,7 @@
 struct deployment_share;
 struct exchange;
 struct http_server;
+struct kept_model;
 struct keyed_feed;
 struct sidecar_links;
 struct model_pace;
@@ -75,6 +76,7 @@
 	struct model_rates *rates;
 	struct rng rng;
 	uint64_t read_ids; /* used for leave to read prompts */
+	struct kept_model *kept; /* models that have had a copy */
 	int64_t guard_us; /* when lost models were last looked for */
 	int64_t spread_us; /* when a model was last spread */
 	struct event *tick;
--- /dev/null
+++ b/test/unit/test_gateway_policies.c
@@ -0,0 +1,498 @@
+/* The gateway's and sidecar's policies, each under the load it answers. */
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <glib.h>
+
+#include "common/clock.h"
+#include "coordination/load_window.h"
+#include "coordination/model_rate.h"
+#include "coordination/outlier.h"
+#include "coordination/pace.h"
+#include "coordination/read_gate.h"
+#include "coordination/selection.h"
+#include "coordination/swap.h"
+#include "protocol/event_stream.h"
+
+/* ---- selection ---- */
+
+static const struct select_query long_prompt = {
+	.model = "m", .prompt_tokens = 9000, .answer_tokens = 50, .pace = 1
+};
+
+static struct select_replica
+replica(const char *id)
+{
+	struct select_replica r = {
+		.id = id,
+		.usable = true,
+		.same_zone = true,
+		.slots = 64,
+		.victim_idle_us = INT64_MAX,
+		.kv_free = -1,
+		.slowness = 1,
+	};
+
+	return r;
+}
+
+static void
+test_prefers_cached_head(void)
+{
+	struct select_replica r[] = { replica("a"), replica("b") };
+
+	r[1].cached_tokens = 6000;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 1);
+	/* But not behind many others. */
+	r[1].pending_tokens = 30000;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 0);
+}
+
+static void
+test_busy_holder_against_cold(void)
+{
+	struct select_replica r[] = { replica("a"), replica("b") };
+
+	r[1].load_us = 760000;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 0);
+	r[0].pending_tokens = 60000; /* over a second and a half of reading */
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 1);
+	r[1].load_us = 6000000;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 0);
+}
+
+static void
+test_full_memory_and_slots(void)
+{
+	struct select_replica r[] = { replica("a"), replica("b") };
+
+	r[1].pending_tokens = 3000;
+	r[0].kv_free = 5000; /* the prompt would preempt another */
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 1);
+	r[0].kv_free = -1;
+	r[0].running = 64;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 1);
+}
+
+static void
+test_ejected_only_as_last(void)
+{
+	struct select_replica r[] = { replica("a"), replica("b") };
+
+	r[0].ejected = true;
+	r[1].pending_tokens = 50000;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 1);
+	r[1].usable = false;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 0);
+	r[0].usable = false;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, -1);
+}
+
+static void
+test_spread(void)
+{
+	struct select_query q = long_prompt;
+	struct select_replica r[] = { replica("a"), replica("b"),
+		replica("c") };
+
+	r[0].reading_share = 0.6;
+	r[1].load_us = 6000000; /* only in the weight store */
+	r[2].load_us = 760000;
+	g_assert_cmpint(select_spread(&q, r, 3), ==, 2);
+	r[0].reading_share = 0.1;
+	g_assert_cmpint(select_spread(&q, r, 3), ==, -1);
+	/* One replica alone holds a model in steady demand. */
+	q.rate = 2;
+	g_assert_cmpint(select_spread(&q, r, 3), ==, 2);
+	/* What was used lately does not make way for it. */
+	r[2].victim_idle_us = 1000000;
+	g_assert_cmpint(select_spread(&q, r, 3), ==, -1);
+}
+
+/* ---- read_gate ---- */
+
+static const struct read_gate_options gate_options = {
+	.batch_tokens = 12000, .tokens_per_ms = 38, .grant_us = 2000000
+};
+
+static struct read_request
+prompt(uint64_t id, uint32_t tokens, int64_t goal_us, int64_t deadline_us)
+{
+	struct read_request r = { &gate_options, id, tokens, goal_us,
+		deadline_us, (void *)(uintptr_t)id };
+
+	return r;
+}
+
+#define PIECE_TOKENS 4096 /* of a prompt, in one step of the engine */
+#define PIECE_MS 140
+#define STEP_MS 6 /* without a prompt */
+#define EVENT_STEPS 5 /* tokens in an event of a stream */
+#define PROMPTS 12
+#define PROMPT_TOKENS 6000
+#define ROUND_TRIP_STEPS 2 /* until the next batch reaches the engine */
+
+/*
+ * Longest pause between a stream's events while an engine reads PROMPTS, as
+ * they are let in.  `gated` false lets in all at once.
+ */
+static int
+longest_pause_ms(bool gated)
+{
+	struct read_gate *g = read_gate_create(&gate_options);
+	struct read_request r;
+	uint64_t reading[PROMPTS];
+	uint32_t left[PROMPTS];
+	int count = 0, steps = 0, pause = 0, longest = 0, quiet = 0, read = 0;
+	bool granted;
+	int64_t now = 0;
+
+	for (uint64_t i = 1; i <= PROMPTS; i++) {
+		r = prompt(i, PROMPT_TOKENS, 60000000, 60000000);
+		g_assert_true(read_gate_ask(g, &r, now));
+	}
+	while (read < PROMPTS) {
+		while (
+		    (gated ? quiet >= ROUND_TRIP_STEPS || steps == 0 : true) &&
+		    count < PROMPTS && read_gate_next(g, now, &r, &granted)) {
+			g_assert_true(granted);
+			reading[count] = r.id;
+			left[count++] = PROMPT_TOKENS;
+			if (!gated) /* as if the engine kept the order */
+				read_gate_done(g, r.owner, r.id);
+		}
+		if (count > 0) {
+			uint32_t piece = PIECE_TOKENS;
+
+			while (piece > 0 && count > 0) {
+				uint32_t part =
+				    left[0] < piece ? left[0] : piece;
+
+				left[0] -= part;
+				piece -= part;
+				if (left[0] > 0)
+					continue;
+				if (gated)
+					read_gate_done(
+					    g, &gate_options, reading[0]);
+				count--;
+				read++;
+				memmove(reading, reading + 1,
+				    sizeof(reading) - sizeof(reading[0]));
+				memmove(left, left + 1,
+				    sizeof(left) - sizeof(left[0]));
+			}
+			pause += PIECE_MS;
+			quiet = 0;
+		} else {
+			pause += STEP_MS;
+			quiet++;
+		}
+		now += PIECE_MS * 1000;
+		if (++steps % EVENT_STEPS == 0) {
+			longest = pause > longest ? pause : longest;
+			pause = 0;
+		}
+	}
+	read_gate_destroy(g);
+	return longest;
+}
+
+static void
+test_gate_keeps_streams_going(void)
+{
+	int all_at_once = longest_pause_ms(false);
+	int by_batches = longest_pause_ms(true);
+
+	g_test_message("longest pause: %d ms by batches, %d ms all at once",
+	    by_batches, all_at_once);
+	g_assert_cmpint(all_at_once, >, 600);
+	g_assert_cmpint(by_batches, <=, 600);
+}
+
+static void
+test_gate_order(void)
+{
+	struct read_gate *g = read_gate_create(&gate_options);
+	struct read_request r;
+	bool granted;
+
+	r = prompt(1, 10000, 1000000, 5000000);
+	g_assert_true(read_gate_ask(g, &r, 0));
+	g_assert_true(read_gate_next(g, 0, &r, &granted));
+	g_assert_cmpuint(r.id, ==, 1);
+	/* 2 is late already, 3 has the later goal, 4 the earlier one. */
+	r = prompt(2, 10000, 100000, 5000000);
+	g_assert_true(read_gate_ask(g, &r, 0));
+	r = prompt(3, 10000, 5000000, 15000000);
+	g_assert_true(read_gate_ask(g, &r, 0));
+	r = prompt(4, 10000, 1000000, 5000000);
+	g_assert_true(read_gate_ask(g, &r, 0));
+	g_assert_cmpuint(read_gate_waiting(g), ==, 30000);
+	g_assert_false(read_gate_next(g, 0, &r, &granted));
+	for (uint64_t expected = 4, last = 1; last != 2;) {
+		read_gate_done(g, &gate_options, last);
+		g_assert_true(read_gate_next(g, 0, &r, &granted));
+		g_assert_true(granted);
+		g_assert_cmpuint(r.id, ==, expected);
+		last = r.id;
+		expected = last == 4 ? 3 : 2;
+	}
+	read_gate_destroy(g);
+}
+
+static void
+test_gate_ends(void)
+{
+	struct read_gate *g = read_gate_create(&gate_options);
+	struct read_request r = prompt(1, 10000, 1000000, 200000);
+	bool granted;
+
+	g_assert_false(read_gate_ask(g, &r, 0)); /* cannot be read in time */
+	r.deadline_us = 5000000;
+	g_assert_true(read_gate_ask(g, &r, 0));
+	g_assert_true(read_gate_next(g, 0, &r, &granted));
+	/* Nobody tells that it was read: the grant lapses. */
+	r = prompt(2, 10000, 1000000, 9000000);
+	g_assert_true(read_gate_ask(g, &r, 0));
+	g_assert_false(read_gate_next(g, 1000000, &r, &granted));
+	g_assert_true(read_gate_next(g, 2100000, &r, &granted));
+	g_assert_cmpuint(r.id, ==, 2);
+	/* One that waits for too long is told so. */
+	r = prompt(3, 10000, 3000000, 3000000);
+	g_assert_true(read_gate_ask(g, &r, 2100000));
+	g_assert_true(read_gate_next(g, 2900000, &r, &granted));
+	g_assert_false(granted);
+	/* An owner that is gone leaves nothing behind. */
+	r = prompt(4, 10000, 9000000, 9000000);
+	g_assert_true(read_gate_ask(g, &r, 2900000));
+	g_assert_true(read_gate_forget(g, &gate_options, &r));
+	g_assert_cmpuint(r.id, ==, 4);
+	g_assert_true(read_gate_forget(g, &gate_options, &r));
+	g_assert_false(read_gate_forget(g, &gate_options, &r));
+	g_assert_cmpuint(read_gate_waiting(g), ==, 0);
+	read_gate_destroy(g);
+}
+
+/* ---- swap ---- */
+
+static struct swap_model
+model(const char *name, int64_t last_use_us)
+{
+	struct swap_model m = { .name = name,
+		.size_mb = 60,
+		.adapter_mb = 1,
+		.last_use_us = last_use_us };
+
+	return m;
+}
+
+static struct swap_want
+want(const char *name, const char *adapter, unsigned rank)
+{
+	struct swap_want w = { .model = name,
+		.adapter = adapter,
+		.rank = rank,
+		.size_mb = 60,
+		.adapter_mb = 1,
+		.may_load = true };
+
+	return w;
+}
+
+static void
+test_swap_evicts_least_used(void)
+{
+	struct swap_model models[] = { model("a", 5000), model("b", 1000),
+		model("c", 3000) };
+	struct swap_want wants[] = { want("d", "", 1) };
+	struct swap_input in = { .now_us = 1000000,
+		.memory_mb = 200,
+		.models = models,
+		.model_count = 3,
+		.wants = wants,
+		.want_count = 1 };
+	struct swap_step s = swap_next(&in);
+
+	g_assert_cmpint(s.op, ==, SWAP_UNLOAD);
+	g_assert_cmpstr(s.model, ==, "b");
+	models[1].in_flight = 1;
+	g_assert_cmpstr(swap_next(&in).model, ==, "c");
+	in.memory_mb = 240;
+	s = swap_next(&in);
+	g_assert_cmpint(s.op, ==, SWAP_LOAD);
+	g_assert_cmpstr(s.model, ==, "d");
+	/* Without a permit of the weight store nothing makes way. */
+	wants[0].may_load = false;
+	in.memory_mb = 200;
+	g_assert_cmpint(swap_next(&in).op, ==, SWAP_NONE);
+}
+
+static void
+test_swap_counts_arriving_adapters(void)
+{
+	const struct swap_adapter adapters[] = { { .name = "a1",
+						     .in_flight = 1 },
+		{ .name = "a2", .arriving = true } };
+	struct swap_model m = model("a", 0);
+	struct swap_want wants[] = { want("a", "a3", 0) };
+	struct swap_input in = { .now_us = 1000000,
+		.memory_mb = 200,
+		.adapter_places = 2,
+		.models = &m,
+		.model_count = 1,
+		.wants = wants,
+		.want_count = 1 };
+
+	m.adapters = adapters;
+	m.adapter_count = 2;
+	/* Both places are taken, and neither adapter may go. */
+	g_assert_cmpint(swap_next(&in).op, ==, SWAP_NONE);
+	in.adapter_places = 3;
+	g_assert_cmpint(swap_next(&in).op, ==, SWAP_LOAD);
+	/* One that is on its way is not ordered again. */
+	wants[0].adapter = "a2";
+	g_assert_cmpint(swap_next(&in).op, ==, SWAP_NONE);
+}
+
+static void
+test_swap_order_of_wants(void)
+{
+	struct swap_model m = model("a", 0);
+	struct swap_want wants[] = { want("b", "", 2), want("c", "", 0) };
+	struct swap_input in = { .now_us = 1000000,
+		.memory_mb = 200,
+		.models = &m,
+		.model_count = 1,
+		.wants = wants,
+		.want_count = 2 };
+
+	g_assert_cmpstr(swap_next(&in).model, ==, "c");
+	/* What must wait for the weight store does not hold the other up. */
+	wants[1].may_load = false;
+	g_assert_cmpstr(swap_next(&in).model, ==, "b");
+}
+
+/* ---- load_window ---- */
+
+static void
+test_load_window(void)
+{
+	struct load_window w;
+	unsigned begun = 0;
+
+	load_window_init(&w, 2.1, 5000000, 1.1, 2, 2500000);
+	g_assert_cmpuint(w.limit, ==, 13);
+	/* Many models wake at once on 24 daemons that share the log. */
+	for (int64_t now = 0; now < 60000000; now += 10000) {
+		if (!load_window_allows(&w, now))
+			continue;
+		load_window_note(&w, now);
+		begun++;
+	}
+	g_assert_cmpuint(begun, <=, 13 * 8);
+	for (unsigned i = 0; i < w.count; i++) {
+		unsigned within = 0;
+
+		for (unsigned j = i; j < w.count; j++)
+			within += w.began_us[j] - w.began_us[i] < 5000000;
+		g_assert_cmpuint(within, <=, 14);
+	}
+	/* A clock that was set back by two seconds allows no more. */
+	g_assert_true(load_window_allows(&w, 80000000));
+	for (int i = 0; i < 13; i++)
+		load_window_note(&w, 80000000);
+	g_assert_false(load_window_allows(&w, 78000000));
+	g_assert_false(load_window_allows(&w, 87000000));
+}
+
+/* ---- outlier, pace, rate ---- */
+
+static void
+test_outlier(void)
+{
+	struct outlier o = { 0 };
+	int64_t now = 0;
+
+	/* A replica that fails four requests in ten leaves for a while. */
+	for (int i = 0; i < 40 && !outlier_ejected(&o, now); i++, now += 50000)
+		outlier_note(&o, i % 5 < 2 ? OUTLIER_FAILED : OUTLIER_OK, now);
+	g_assert_true(outlier_ejected(&o, now) || o.failures > 0.2);
+	memset(&o, 0, sizeof(o));
+	outlier_note(&o, OUTLIER_UNREACHABLE, now);
+	g_assert_true(outlier_ejected(&o, now));
+	g_assert_false(outlier_ejected(&o, now + 1000001));
+	outlier_note(&o, OUTLIER_UNREACHABLE, now + 1000001);
+	g_assert_true(outlier_ejected(&o, now + 1000001 + 1500000));
+	/* An application that errs now and then stays. */
+	memset(&o, 0, sizeof(o));
+	for (int i = 0; i < 200; i++) {
+		outlier_note(&o, i % 7 == 0 ? OUTLIER_ERROR : OUTLIER_OK, now);
+		g_assert_false(outlier_ejected(&o, now));
+	}
+}
+
+static void
+test_pace_and_rate(void)
+{
+	struct model_pace *p = pace_create();
+	struct model_rates *r = model_rates_create();
+
+	for (int i = 0; i < 50; i++) /* four times as fast as predicted */
+		pace_note(p, "m", (int64_t)(100000 * pace_of(p, "m")), 25000);
+	g_assert_cmpfloat(pace_of(p, "m"), <, 0.3);
+	g_assert_cmpfloat(pace_of(p, "other"), ==, 1);
+	for (int64_t now = 0; now < 20000000; now += 250000)
+		model_rates_note(r, "m", now);
+	g_assert_cmpfloat(model_rates_get(r, "m", 20000000), >, 3);
+	g_assert_cmpfloat(model_rates_get(r, "m", 20000000), <, 5);
+	g_assert_cmpfloat(model_rates_get(r, "m", 40000000), <, 0.1);
+	pace_destroy(p);
+	model_rates_destroy(r);
+}
+
+/* ---- event_stream ---- */
+
+static void
+test_event_stream(void)
+{
+	struct evbuffer *buf = evbuffer_new();
+	struct stream_event ev;
+
+	evbuffer_add_printf(buf, "id: 7\ndata: x\n");
+	g_assert_false(event_stream_next(buf, &ev));
+	evbuffer_add_printf(buf, "\nid:8\r\ndata: y\r\n\r\ndata: z");
+	g_assert_true(event_stream_next(buf, &ev));
+	g_assert_true(ev.has_id);
+	g_assert_cmpuint(ev.id, ==, 7);
+	g_assert_cmpuint(ev.len, ==, strlen("id: 7\ndata: x\n\n"));
+	evbuffer_drain(buf, ev.len);
+	g_assert_true(event_stream_next(buf, &ev));
+	g_assert_cmpuint(ev.id, ==, 8);
+	evbuffer_drain(buf, ev.len);
+	g_assert_false(event_stream_next(buf, &ev)); /* cut inside an event */
+	evbuffer_free(buf);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/selection/cached_head", test_prefers_cached_head);
+	g_test_add_func(
+	    "/selection/busy_or_cold", test_busy_holder_against_cold);
+	g_test_add_func("/selection/full", test_full_memory_and_slots);
+	g_test_add_func("/selection/ejected", test_ejected_only_as_last);
+	g_test_add_func("/selection/spread", test_spread);
+	g_test_add_func("/read_gate/streams", test_gate_keeps_streams_going);
+	g_test_add_func("/read_gate/order", test_gate_order);
+	g_test_add_func("/read_gate/ends", test_gate_ends);
+	g_test_add_func("/swap/least_used", test_swap_evicts_least_used);
+	g_test_add_func("/swap/arriving", test_swap_counts_arriving_adapters);
+	g_test_add_func("/swap/order", test_swap_order_of_wants);
+	g_test_add_func("/load_window", test_load_window);
+	g_test_add_func("/outlier", test_outlier);
+	g_test_add_func("/pace_and_rate", test_pace_and_rate);
+	g_test_add_func("/event_stream", test_event_stream);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/unit/test_platform.c
@@ -0,0 +1,237 @@
+/* The adapter: what the platform writes becomes the project's own types. */
+#include <string.h>
+
+#include <bsd/sys/queue.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+
+#include <jansson.h>
+
+#include "platform/platform.h"
+#include "state/deployment.h"
+
+static const char config[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"a\",\"host\":\"H.example\",\"path_prefix\":\"/x/\","
+    "\"kind\":\"streaming\",\"timeout_ms\":5000,\"latency_goal_ms\":1000,"
+    "\"priority\":1,\"service\":\"s1\",\"max_attempts\":2,\"sticky\":true,"
+    "\"resumable\":true,\"gap_aim_ms\":600},"
+    "{\"name\":\"b\",\"host\":\"h.example\",\"path_prefix\":\"/x/y/\","
+    "\"kind\":\"unsafe\",\"timeout_ms\":700,\"split\":["
+    "{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}],"
+    "\"max_attempts\":1}],"
+    "\"services\":[{\"name\":\"s1\",\"health_path\":\"/health\","
+    "\"max_conns\":360,\"engine\":{\"slots\":64,\"kv_capacity\":240783,"
+    "\"weights_mb\":220000.0,\"adapter_slots\":8,\"loads_per_s\":2.1,"
+    "\"models\":[{\"name\":\"m\",\"weights_mb\":65100.0,\"load_s\":6.0,"
+    "\"adapters\":37,\"adapter_mb\":12.0,\"warm_s\":0.38,\"disk_s\":0.76}]}},"
+    "{\"name\":\"s2\",\"health_path\":\"/health\",\"max_conns\":96}],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+
+static void
+test_deployment(void)
+{
+	struct fleet_error err;
+	struct deployment *d =
+	    platform_decode_deployment(config, strlen(config), &err);
+	const struct route *r;
+	const struct service_spec *s;
+
+	g_assert_nonnull(d);
+	g_assert_cmpuint(d->version, ==, 7);
+	r = deployment_route(d, "h.EXAMPLE:80", "/x/z");
+	g_assert_cmpstr(r->name, ==, "a");
+	g_assert_cmpint(r->timeout_us, ==, 5000000);
+	g_assert_true(route_may_repeat(r));
+	r = deployment_route(d, "h.example", "/x/y/1");
+	g_assert_cmpstr(r->name, ==, "b");
+	g_assert_false(route_may_repeat(r));
+	g_assert_cmpstr(route_pick_service(r, 0.89), ==, "s1");
+	g_assert_cmpstr(route_pick_service(r, 0.91), ==, "s2");
+	g_assert_null(deployment_route(d, "h.example", "/x"));
+	g_assert_null(deployment_route(d, "other.example", "/x/"));
+	s = deployment_service(d, "s1");
+	g_assert_true(s->has_engine);
+	/* One name on the wire: the replica's memory, and a model's size. */
+	g_assert_cmpfloat(s->engine.memory_mb, ==, 220000);
+	g_assert_cmpfloat(s->engine.models[0].size_mb, ==, 65100);
+	g_assert_cmpint(s->engine.models[0].load_disk_us, ==, 760000);
+	g_assert_false(deployment_service(d, "s2")->has_engine);
+	deployment_unref(d);
+}
+
+static void
+test_bad_deployments(void)
+{
+	static const char *const bad[] = { "", "[]", "{}", "{\"version\":1}",
+		"{\"version\":1,\"routes\":[{}],\"services\":[]}",
+		"{\"version\":1,\"routes\":[{\"host\":\"h\",\"path_prefix\":"
+		"\"/\",\"kind\":\"other\",\"service\":\"s\"}],\"services\":[]}",
+		"{\"version\":1,\"routes\":[],\"services\":[{}]}" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		struct fleet_error err = { "" };
+
+		g_assert_null(
+		    platform_decode_deployment(bad[i], strlen(bad[i]), &err));
+		g_assert_cmpstr(err.text, !=, "");
+	}
+}
+
+static void
+test_replicas(void)
+{
+	static const char good[] =
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":64,\"state\":\"draining\",\"remaining_ms\":1500,"
+	    "\"born\":1769570820243,\"seq\":4,\"models\":[{\"name\":\"m\","
+	    "\"version\":1,\"adapters\":[\"a1\"]}],\"at_hand\":"
+	    "{\"in_memory\":[\"m\"],\"on_disk\":[\"m\",\"n\"]}}";
+	static const char *const foreign[] = { "", "\xff\xfe", "[]",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		"\"zone\":\"z\",\"slots\":64,\"state\":\"asleep\"}",
+		"{\"service\":\"s\",\"zone\":\"z\",\"slots\":64,"
+		"\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		"\"zone\":\"z\",\"slots\":\"many\",\"state\":\"ready\"}",
+		"{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"slots\":64,\"state\":\"ready\"}" };
+	struct replica_entry r;
+	struct fleet_error err;
+
+	g_assert_cmpint(
+	    platform_decode_replica("i-1", good, strlen(good), &r, &err), ==,
+	    0);
+	g_assert_cmpstr(r.id, ==, "i-1");
+	g_assert_true(r.state.draining);
+	g_assert_cmpint(r.state.gone_in_us, ==, 1500000);
+	g_assert_cmpuint(r.state.born_ms, ==, 1769570820243);
+	g_assert_cmpstr(r.state.models[0].adapters[0], ==, "a1");
+	g_assert_cmpuint(r.state.on_disk.count, ==, 2);
+	for (size_t i = 0; i < G_N_ELEMENTS(foreign); i++)
+		g_assert_cmpint(platform_decode_replica("i-2", foreign[i],
+				    strlen(foreign[i]), &r, &err),
+		    ==, -1);
+}
+
+static void
+test_report(void)
+{
+	json_t *doc = json_pack("{s:b, s:i, s:i, s:[{s:s, s:[s]}], s:[s, s],"
+				"s:[[s,i,i,i],[s,i,i,i]]}",
+	    "busy", 1, "seq", 3, "active", 2, "models", "name", "m", "adapters",
+	    "a1", "incoming_adapters", "m/a2@1", "other/a1@1", "runs", "r1", 9,
+	    0, 1, "r2", 9, 4, 1);
+	struct replica_state s;
+	struct fleet_error err;
+
+	g_assert_cmpint(platform_decode_state(doc, &s, &err), ==, 0);
+	g_assert_true(s.busy);
+	g_assert_cmpint(s.gone_in_us, ==, -1);
+	g_assert_cmpuint(s.models[0].arriving_count, ==, 1);
+	g_assert_cmpstr(s.models[0].arriving[0], ==, "a2");
+	g_assert_cmpuint(s.reading, ==, 1); /* the other has made events */
+	json_decref(doc);
+}
+
+static void
+add(struct evkeyvalq *headers, const char *name, const char *value)
+{
+	evhttp_add_header(headers, name, value);
+}
+
+static void
+test_requests(void)
+{
+	struct evkeyvalq headers;
+	struct request_terms t;
+	struct fleet_error err;
+
+	TAILQ_INIT(&headers);
+	g_assert_cmpint(platform_read_request(&headers, &t, &err), ==, -1);
+	add(&headers, "Tamarackmast-Request-Id", "9c41");
+	add(&headers, "Tamarackmast-Deadline-Ms", "5000");
+	add(&headers, "Tamarackmast-Model", "m/a3");
+	add(&headers, "Tamarackmast-Token-Count", "1460,80");
+	add(&headers, "Tamarackmast-Prompt-Prefix",
+	    "5c1e07a2:800,e4402b7d:250");
+	add(&headers, "Last-Event-Id", "12");
+	g_assert_cmpint(platform_read_request(&headers, &t, &err), ==, 0);
+	g_assert_cmpstr(t.id, ==, "9c41");
+	g_assert_cmpint(t.deadline_us, ==, 5000000);
+	g_assert_cmpstr(t.model, ==, "m");
+	g_assert_cmpstr(t.adapter, ==, "a3");
+	g_assert_cmpuint(t.prompt_tokens, ==, 1460);
+	g_assert_cmpuint(t.max_tokens, ==, 80);
+	g_assert_cmpuint(t.part_count, ==, 2);
+	g_assert_cmphex(t.parts[0].id, ==, 0x5c1e07a2);
+	g_assert_cmpuint(t.parts[1].tokens, ==, 250);
+	g_assert_true(t.resumes);
+	g_assert_cmpuint(t.last_event, ==, 12);
+	evhttp_clear_headers(&headers);
+}
+
+static void
+test_forwarding(void)
+{
+	struct forward_terms t = { .deadline_us = 1234567,
+		.replica = "i-1",
+		.urgency = 2,
+		.resumes = true,
+		.last_event = 4 };
+	struct forward_headers out;
+
+	platform_write_forward(&t, &out);
+	g_assert_cmpuint(out.count, ==, 4);
+	g_assert_cmpstr(out.headers[0].value, ==, "1234");
+	g_assert_cmpstr(out.headers[1].value, ==, "i-1");
+	/* A caller must not set what this side sets. */
+	g_assert_false(platform_forwards_header("tamarackmast-hold"));
+	g_assert_false(platform_forwards_header("Kv-From"));
+	g_assert_false(platform_forwards_header("Tamarackmast-Pin-Ms"));
+	g_assert_false(platform_forwards_header("Tamarackmast-Kv-Backup"));
+	g_assert_true(platform_forwards_header("Tamarackmast-Request-Id"));
+	g_assert_true(platform_forwards_header("Tamarackmast-Prompt-Prefix"));
+	g_assert_true(platform_forwards_header("Accept"));
+}
+
+static void
+test_answers(void)
+{
+	struct evkeyvalq headers;
+	struct answer_facts f;
+
+	TAILQ_INIT(&headers);
+	add(&headers, "Tamarackmast-Request-Id", "9c41");
+	add(&headers, "Tamarackmast-Server-Load", "3,1,8");
+	platform_read_answer(&headers, 503, &f);
+	g_assert_false(f.not_run); /* only its own header says so */
+	g_assert_false(f.sealed);
+	g_assert_true(f.has_load);
+	g_assert_cmpuint(f.waiting, ==, 1);
+	add(&headers, "Tamarackmast-Not-Executed", "1");
+	platform_read_answer(&headers, 503, &f);
+	g_assert_true(f.not_run);
+	evhttp_clear_headers(&headers);
+	add(&headers, "Tamarackmast-Instance-Id", "i-2");
+	platform_read_answer(&headers, 421, &f);
+	g_assert_true(f.not_run);
+	g_assert_cmpstr(f.replica, ==, "i-2");
+	evhttp_clear_headers(&headers);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/deployment", test_deployment);
+	g_test_add_func("/platform/bad_deployments", test_bad_deployments);
+	g_test_add_func("/platform/replicas", test_replicas);
+	g_test_add_func("/platform/report", test_report);
+	g_test_add_func("/platform/requests", test_requests);
+	g_test_add_func("/platform/forwarding", test_forwarding);
+	g_test_add_func("/platform/answers", test_answers);
+	return g_test_run();
+}
