--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 LIB_SRC := $(wildcard src/common/*.c src/transport/*.c src/protocol/*.c \
     src/state/*.c src/coordination/*.c src/entry/*.c src/agent/*.c \
     src/gateway/*.c src/sidecar/*.c platform/*.c src/ctl/*.c src/bench/*.c)
-STANDIN_SRC := $(wildcard src/standin/*.c)
+STANDIN_SRC := $(wildcard src/standin/*.c platform/standin/*.c)
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 STANDIN_OBJ := $(STANDIN_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libtamarackmast.a
@@ -115,8 +115,8 @@
 	@mkdir -p $(@D)
 	clang -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
 	    -fno-sanitize-recover=undefined $(CPPFLAGS_ALL) -o $@ $< \
-	    $(filter src/common/% src/transport/rpc.c src/transport/tls.c \
-	    src/protocol/%,$(LIB_SRC)) $(PKG_LIBS) -lm
+	    $(filter src/common/% src/transport/% src/protocol/% \
+	    src/state/deployment.c platform/%,$(LIB_SRC)) $(PKG_LIBS) -lm
 
 fuzz: $(FUZZ_BIN)
 	@for target in $(FUZZ_BIN); do \
@@ -150,6 +150,7 @@
 
 check-layers:
 	@bash scripts/check-layers.sh
+	@bash scripts/check-wire-names.sh
 
 check-docs: $(BIN)
 	@BUILD=$(BUILD) bash scripts/check-docs.sh
--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -9,7 +9,7 @@
 	echo "# Settings"
 	echo
 	echo "Written by \`make docs\` from the option tables."
-	for program in entry agent; do
+	for program in entry agent gateway sidecar; do
 		echo
 		echo "## $program"
 		echo
--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -10,7 +10,7 @@
 	protocol) echo 2 ;;
 	state) echo 3 ;;
 	coordination) echo 4 ;;
-	entry | agent | ctl | bench | standin) echo 5 ;;
+	entry | agent | gateway | sidecar | ctl | bench | standin) echo 5 ;;
 	*) echo 9 ;;
 	esac
 }
--- a/src/coordination/deployment_share.c
+++ b/src/coordination/deployment_share.c
@@ -179,7 +179,7 @@
 		return;
 	}
 	log_info(s->opts.process->logger, "deployment passed on",
-	    LF_I("version", doc.ver), LF_I("peer_version", ask->have));
+	    LF_I("version", doc.ver), LF_I("peer_has", ask->have));
 	(void)rpc_conn_send(
 	    conn, TM_DEPLOYMENT, (xdrproc_t)xdr_tm_deployment_doc, &doc);
 }
--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -19,6 +19,8 @@
 #define SPREAD_REPLICAS 2
 /* Copies in the replica's memory or on its disk load within this time. */
 #define SPREAD_LOAD_US 1500000
+/* What a failed request costs: time until it is noticed and sent again. */
+#define FAILURE_US 300000
 /* A full replica queues: about the time until a place falls free. */
 #define FULL_US 400000
 /* Memory that runs out preempts a request, which is read again. */
@@ -56,6 +58,7 @@
 	int64_t us = r->load_us + (int64_t)(work * q->pace * r->slowness);
 
 	us += (int64_t)(r->reading_share * READING_US);
+	us += (int64_t)(r->failures * FAILURE_US);
 	if (r->slots > 0 && r->running >= r->slots)
 		us += FULL_US * (1 + (r->running - r->slots) / r->slots);
 	if (r->kv_free >= 0 &&
--- a/src/coordination/selection.h
+++ b/src/coordination/selection.h
@@ -31,6 +31,7 @@
 	int64_t kv_free; /* tokens; negative: unknown */
 	double reading_share; /* of its time, spent on prompts lately */
 	double slowness; /* measured over predicted; 1: as predicted */
+	double failures; /* share of requests that failed there lately */
 };
 
 struct select_query {
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -83,6 +83,7 @@
 	r->cached_tokens = cached_tokens(g, terms, b);
 	r->reading_share = b->has_report ? b->reading_share : 0;
 	r->slowness = b->slowness;
+	r->failures = b->outlier.failures;
 	r->kv_free = b->has_report && b->entry.state.kv_total > 0
 			 ? b->entry.state.kv_total - b->kv_used
 			 : -1;
@@ -223,7 +224,7 @@
 load_again(struct gateway *g, const struct service_spec *service,
     const struct model_spec *model)
 {
-	struct request_terms terms = { 0 };
+	static struct request_terms terms; /* the candidates point to it */
 	struct candidates *c;
 	struct select_choice choice;
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -9,7 +9,9 @@
 #include <event2/event.h>
 
 #include "common/clock.h"
+#include "common/histogram.h"
 #include "common/log.h"
+#include "common/metrics.h"
 #include "coordination/model_rate.h"
 #include "coordination/retry_budget.h"
 #include "coordination/selection.h"
@@ -150,11 +152,29 @@
 	exchange_free(x);
 }
 
+/* Time to the first piece and to the end, by route. */
+static void
+record_times(const struct exchange *x)
+{
+	struct metrics *m = x->gateway->process.metrics;
+	int64_t now = clock_now(x->gateway->process.clock);
+	char labels[METRICS_LABEL_MAX * 2] = "";
+
+	metrics_label(labels, sizeof(labels), "route", x->route->name);
+	histogram_record(metrics_histogram(m, "gateway_answer_seconds", labels),
+	    (uint64_t)(now - x->arrived_us));
+	if (x->first_us > 0)
+		histogram_record(
+		    metrics_histogram(m, "gateway_first_piece_seconds", labels),
+		    (uint64_t)x->first_us);
+}
+
 /* The caller has the answer's last byte, or it is on its way. */
 void
 exchange_finish(struct exchange *x, const char *outcome)
 {
 	(*x->gateway->counters.answered)++;
+	record_times(x);
 	log_end(x, "request answered", x->code, outcome, 0);
 	exchange_free(x);
 }
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -14,6 +14,8 @@
 	{ "engine", standin_engine_main },
 	{ "service", standin_service_main },
 	{ "proxy", standin_proxy_main },
+	{ "store", standin_store_main },
+	{ "replica", standin_replica_main },
 };
 
 int
@@ -26,6 +28,7 @@
 			return roles[i].run(argc - 1, argv + 1);
 	}
 	fprintf(stderr, "Usage: tamarackmast-standin "
-			"log|vms|weights|engine|service|proxy [OPTION...]\n");
+			"log|vms|weights|engine|service|proxy|store|replica "
+			"[OPTION...]\n");
 	return 2;
 }
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -64,5 +64,7 @@
 int standin_engine_main(int argc, char **argv);
 int standin_service_main(int argc, char **argv);
 int standin_proxy_main(int argc, char **argv);
+int standin_store_main(int argc, char **argv);
+int standin_replica_main(int argc, char **argv);
 
 #endif
--- a/src/state/deployment.c
+++ b/src/state/deployment.c
@@ -103,7 +103,7 @@
 deployment_index(struct deployment *d)
 {
 	struct route_host *h, *next;
-	char host[HOST_MAX];
+	char host[HOST_MAX] = "";
 
 	for (size_t i = 0; i < d->route_count; i++) {
 		normalize_host(host, d->routes[i].host);
@@ -131,7 +131,7 @@
 deployment_route(const struct deployment *d, const char *host, const char *path)
 {
 	struct route_host *h;
-	char name[HOST_MAX];
+	char name[HOST_MAX] = "";
 
 	normalize_host(name, host);
 	HASH_FIND_STR(d->by_host, name, h);
--- /dev/null
+++ b/test/fuzz/fuzz_platform.c
@@ -0,0 +1,83 @@
+/* Any bytes as what the platform writes: an error names its fault. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/sys/queue.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include "platform/platform.h"
+#include "protocol/event_stream.h"
+#include "state/deployment.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *, size_t);
+
+static void
+decode_documents(const uint8_t *data, size_t len)
+{
+	static struct replica_entry entry;
+	struct fleet_error err = { "" };
+	struct deployment *d = platform_decode_deployment(data, len, &err);
+
+	if (d == NULL && err.text[0] == '\0')
+		abort();
+	deployment_unref(d);
+	err.text[0] = '\0';
+	if (platform_decode_replica("i-1", data, len, &entry, &err) == -1 &&
+	    err.text[0] == '\0')
+		abort();
+}
+
+static void
+decode_headers(const char *text)
+{
+	static const char *const names[] = { "Tamarackmast-Request-Id",
+		"Tamarackmast-Model", "Tamarackmast-Token-Count",
+		"Tamarackmast-Prompt-Prefix", "Tamarackmast-Deadline-Ms",
+		"Last-Event-Id", "Tamarackmast-Server-Load" };
+	struct evkeyvalq headers;
+	struct request_terms terms;
+	struct answer_facts facts;
+	struct fleet_error err;
+
+	TAILQ_INIT(&headers);
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		evhttp_add_header(&headers, names[i], text);
+	if (platform_read_request(&headers, &terms, &err) == 0 &&
+	    terms.part_count > FLEET_PARTS_MAX)
+		abort();
+	platform_read_answer(&headers, 200, &facts);
+	evhttp_clear_headers(&headers);
+}
+
+static void
+split_events(const uint8_t *data, size_t len)
+{
+	struct evbuffer *buf = evbuffer_new();
+	struct stream_event ev;
+
+	evbuffer_add(buf, data, len);
+	while (event_stream_next(buf, &ev)) {
+		if (ev.len == 0 || ev.len > evbuffer_get_length(buf))
+			abort();
+		evbuffer_drain(buf, ev.len);
+	}
+	evbuffer_free(buf);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
+{
+	char *text = malloc(len + 1);
+
+	if (text == NULL)
+		abort();
+	memcpy(text, data, len);
+	text[len] = '\0';
+	decode_documents(data, len);
+	decode_headers(text);
+	split_events(data, len);
+	free(text);
+	return 0;
+}
--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -119,7 +119,7 @@
 	return ok;
 }
 
-static void
+void
 new_address(char *out)
 {
 	if (port_next == 0)
@@ -133,7 +133,7 @@
 
 /* ---- processes ---- */
 
-static const char *
+const char *
 build_dir(void)
 {
 	const char *dir = getenv("TM_BUILD");
@@ -141,7 +141,7 @@
 	return dir != NULL ? dir : "build";
 }
 
-static void
+void
 add_arg(struct proc *p, const char *arg)
 {
 	for (int i = 0; i < HARNESS_ARGS - 1; i++) {
@@ -153,15 +153,15 @@
 	g_error("too many arguments");
 }
 
-static void
-proc_init(struct proc *p, const struct cluster *c, const char *name,
+void
+proc_init(struct proc *p, const char *dir, const char *name,
     const char *program, const char *sub)
 {
 	char path[256];
 
 	memset(p, 0, sizeof(*p));
 	strlcpy(p->name, name, sizeof(p->name));
-	snprintf(p->log, sizeof(p->log), "%s/%s.log", c->dir, name);
+	snprintf(p->log, sizeof(p->log), "%s/%s.log", dir, name);
 	snprintf(path, sizeof(path), "%s/%s", build_dir(), program);
 	add_arg(p, path);
 	add_arg(p, sub);
@@ -491,7 +491,7 @@
 {
 	char map[2 * HARNESS_TEXT + 2];
 
-	proc_init(p, c, name, "tamarackmast-standin", "proxy");
+	proc_init(p, c->dir, name, "tamarackmast-standin", "proxy");
 	new_address(control);
 	snprintf(map, sizeof(map), "%s=%s", listen, target);
 	add_arg(p, "--listen");
@@ -505,7 +505,7 @@
 start_simple(struct cluster *c, struct proc *p, const char *name,
     const char *role, char *address, const char *const *more)
 {
-	proc_init(p, c, name, "tamarackmast-standin", role);
+	proc_init(p, c->dir, name, "tamarackmast-standin", role);
 	new_address(address);
 	add_arg(p, "--listen");
 	add_arg(p, address);
@@ -555,7 +555,7 @@
 		    log_via, c->log);
 	}
 	write_ini(c, m, log_via, backend, more);
-	proc_init(&m->daemon, c, m->vm, "tamarackmast",
+	proc_init(&m->daemon, c->dir, m->vm, "tamarackmast",
 	    strcmp(role, "entry") == 0 ? "entry" : "agent");
 	add_arg(&m->daemon, "--config");
 	add_arg(&m->daemon, m->ini);
@@ -597,8 +597,8 @@
 	setup_member(c, m, "service", i, backend, c->opts.agent_settings);
 }
 
-static bool
-answers(void *address)
+bool
+is_listening(void *address)
 {
 	struct answer a;
 	bool ok;
@@ -706,9 +706,9 @@
 	start_simple(c, &c->vms_proc, "vms-standin", "vms", c->vms, NULL);
 	start_simple(c, &c->weights_proc, "weights-standin", "weights",
 	    c->weights, NULL);
-	await_true(answers, c->log, "log stand-in");
-	await_true(answers, c->vms, "vms stand-in");
-	await_true(answers, c->weights, "weights stand-in");
+	await_true(is_listening, c->log, "log stand-in");
+	await_true(is_listening, c->vms, "vms stand-in");
+	await_true(is_listening, c->weights, "weights stand-in");
 }
 
 struct cluster *
@@ -740,9 +740,11 @@
 		cluster_list_vm(c, &c->entries[i], "entry", "live");
 	}
 	for (int i = 0; i < c->opts.engines; i++)
-		await_true(answers, c->engines[i].backend, "engine stand-in");
+		await_true(
+		    is_listening, c->engines[i].backend, "engine stand-in");
 	for (int i = 0; i < c->opts.services; i++)
-		await_true(answers, c->services[i].backend, "service stand-in");
+		await_true(
+		    is_listening, c->services[i].backend, "service stand-in");
 	if (!c->opts.no_start)
 		start_daemons(c);
 	return c;
@@ -760,7 +762,7 @@
 	}
 }
 
-static void
+void
 remove_dir(const char *path)
 {
 	GDir *dir = g_dir_open(path, 0, NULL);
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -76,6 +76,15 @@
 
 /* ---- processes ---- */
 
+const char *build_dir(void);
+/* A free address on loopback, of HARNESS_TEXT bytes. */
+void new_address(char *out);
+/* A program of the build folder with its subcommand; logs into dir. */
+void proc_init(struct proc *, const char *dir, const char *name,
+    const char *program, const char *sub);
+void add_arg(struct proc *, const char *arg);
+void remove_dir(const char *path);
+
 void proc_start(struct proc *);
 void proc_signal(struct proc *, int sig);
 /* Waits for the end; returns the wait status. */
@@ -139,6 +148,9 @@
 int64_t journal_int(const char *address, const char *field);
 int64_t metric(const char *address, const char *series);
 
+/* Whether anything answers at the HTTP address. */
+bool is_listening(void *address);
+
 /* Whether the daemon at the HTTP address says that it is ready. */
 bool is_ready(void *address);
 
--- a/test/process/test_soak.c
+++ b/test/process/test_soak.c
@@ -392,18 +392,6 @@
 	g_free(text);
 }
 
-static void
-add_arg(struct proc *p, const char *arg)
-{
-	for (int i = 0; i < HARNESS_ARGS - 1; i++) {
-		if (p->argv[i] == NULL) {
-			p->argv[i] = g_strdup(arg);
-			return;
-		}
-	}
-	g_assert_not_reached();
-}
-
 /* An option with an address as its value. */
 static void
 add_address(struct proc *p, const char *option, const char *address)
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -84,6 +84,12 @@
 	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 1);
 	r[1].usable = false;
 	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 0);
+	/* One failure of late is enough to prefer its equal. */
+	r[0] = replica("a");
+	r[1] = replica("b");
+	r[0].failures = 0.2;
+	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, 1);
+	r[1].usable = false;
 	r[0].usable = false;
 	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, -1);
 }
--- /dev/null
+++ b/test/unit/test_http_client.c
@@ -0,0 +1,321 @@
+/* The HTTP client against servers that answer badly, byte by byte. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "transport/http_client.h"
+
+#define SCRIPT_MAX 8
+#define LIMIT_S 10
+
+enum ending {
+	KEEP, /* wait for the next request */
+	CLOSE,
+	RESET,
+};
+
+/* What the server sends when a request has come. */
+struct step {
+	const char *bytes;
+	enum ending ending;
+};
+
+struct fixture {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	struct http_client *client;
+	const struct step *script;
+	unsigned step;
+	unsigned connections;
+	char address[32];
+	/* Of the last call: */
+	bool done;
+	enum http_call_status status;
+	int code;
+	char body[256];
+	const char *skip; /* answers whose "Id" differs are skipped */
+};
+
+static void
+run_step(struct fixture *f, struct bufferevent *bev)
+{
+	const struct step *s = &f->script[f->step++];
+	struct linger now = { 1, 0 };
+	int fd = bufferevent_getfd(bev);
+
+	g_assert_cmpint((int)send(fd, s->bytes, strlen(s->bytes), MSG_NOSIGNAL),
+	    ==, (int)strlen(s->bytes));
+	if (s->ending == KEEP)
+		return;
+	if (s->ending == RESET)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	bufferevent_free(bev);
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+	struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+
+	if (end.pos == -1)
+		return;
+	evbuffer_drain(in, evbuffer_get_length(in));
+	run_step(arg, bev);
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		bufferevent_free(bev);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *addr, int len, void *arg)
+{
+	struct fixture *f = arg;
+	struct bufferevent *bev =
+	    bufferevent_socket_new(f->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+	f->connections++;
+	bufferevent_setcb(bev, on_read, NULL, on_event, f);
+	bufferevent_enable(bev, EV_READ);
+}
+
+static void
+open_fixture(struct fixture *f, const struct step *script)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+	struct http_client_options opts = { .max_idle = 4,
+		.address = f->address,
+		.connect_timeout_us = 2000000 };
+
+	memset(f, 0, sizeof(*f));
+	f->script = script;
+	f->base = event_base_new();
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	f->listener = evconnlistener_new_bind(f->base, on_accept, f,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+	    (struct sockaddr *)&sin, sizeof(sin));
+	getsockname(
+	    evconnlistener_get_fd(f->listener), (struct sockaddr *)&sin, &len);
+	snprintf(f->address, sizeof(f->address), "127.0.0.1:%d",
+	    ntohs(sin.sin_port));
+	opts.base = f->base;
+	f->client = http_client_create(&opts);
+}
+
+static void
+close_fixture(struct fixture *f)
+{
+	http_client_destroy(f->client);
+	if (f->listener != NULL)
+		evconnlistener_free(f->listener);
+	event_base_free(f->base);
+}
+
+static enum http_head_verdict
+on_head(void *ctx, int code, struct evkeyvalq *headers)
+{
+	struct fixture *f = ctx;
+	const char *id = evhttp_find_header(headers, "Id");
+
+	return f->skip != NULL && id != NULL && strcmp(id, f->skip) != 0
+		   ? HTTP_HEAD_SKIP
+		   : HTTP_HEAD_TAKE;
+}
+
+static void
+on_done(void *ctx, const struct http_response *resp)
+{
+	struct fixture *f = ctx;
+	size_t len;
+
+	f->done = true;
+	f->status = resp->status;
+	f->code = resp->code;
+	f->body[0] = '\0';
+	if (resp->body != NULL) {
+		len = evbuffer_get_length(resp->body);
+		g_assert_cmpuint(len, <, sizeof(f->body));
+		evbuffer_remove(resp->body, f->body, len);
+		f->body[len] = '\0';
+	}
+	event_base_loopbreak(f->base);
+}
+
+static void
+call(struct fixture *f)
+{
+	struct http_call_options opts = {
+		.method = EVHTTP_REQ_GET,
+		.path = "/",
+		.timeout_us = LIMIT_S * 1000000LL,
+		.on_head = on_head,
+		.on_done = on_done,
+		.ctx = f,
+	};
+
+	f->done = false;
+	http_client_call(f->client, &opts);
+	while (!f->done)
+		event_base_loop(f->base, EVLOOP_ONCE);
+}
+
+/* Lets what is under way arrive. */
+static void
+settle(struct fixture *f)
+{
+	struct timeval tv = { 0, 50000 };
+
+	event_base_loopexit(f->base, &tv);
+	event_base_dispatch(f->base);
+}
+
+#define OK_A "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\na"
+#define OK_B "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nb"
+
+static void
+test_keeps_connections(void)
+{
+	static const struct step script[] = { { OK_A, KEEP }, { OK_B, KEEP } };
+	struct fixture f;
+
+	open_fixture(&f, script);
+	call(&f);
+	g_assert_cmpstr(f.body, ==, "a");
+	call(&f);
+	g_assert_cmpstr(f.body, ==, "b");
+	g_assert_cmpuint(f.connections, ==, 1);
+	close_fixture(&f);
+}
+
+/* A second answer to the first call must not answer the next one. */
+static void
+test_extra_answers(void)
+{
+	static const struct step at_once[] = { { OK_A OK_A, KEEP },
+		{ OK_B, KEEP } };
+	static const struct step late[] = { { OK_A, KEEP },
+		{ OK_A OK_B, KEEP } };
+	struct fixture f;
+
+	open_fixture(&f, at_once);
+	call(&f);
+	call(&f);
+	g_assert_cmpstr(f.body, ==, "b");
+	g_assert_cmpuint(f.connections, ==, 2);
+	close_fixture(&f);
+
+	open_fixture(&f, late);
+	call(&f);
+	f.skip = "b";
+	call(&f);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_OK);
+	g_assert_cmpstr(f.body, ==, "b");
+	g_assert_cmpuint(f.connections, ==, 1);
+	close_fixture(&f);
+}
+
+/* Stray bytes on a kept connection end it. */
+static void
+test_stray_bytes(void)
+{
+	static const struct step script[] = { { OK_A, KEEP }, { OK_B, KEEP } };
+	struct fixture f;
+
+	open_fixture(&f, script);
+	call(&f);
+	settle(&f);
+	g_assert_cmpuint(http_client_open(f.client), ==, 1);
+	http_client_drop_idle(f.client);
+	g_assert_cmpuint(http_client_open(f.client), ==, 0);
+	call(&f);
+	g_assert_cmpstr(f.body, ==, "b");
+	close_fixture(&f);
+}
+
+static void
+check_one(
+    const struct step *script, enum http_call_status status, const char *body)
+{
+	struct fixture f;
+
+	open_fixture(&f, script);
+	call(&f);
+	g_assert_cmpint(f.status, ==, status);
+	g_assert_cmpstr(f.body, ==, body);
+	settle(&f);
+	close_fixture(&f);
+}
+
+static void
+test_ends(void)
+{
+	static const struct step whole[] = { { "HTTP/1.1 200 OK\r\n\r\nwhole",
+	    CLOSE } };
+	static const struct step reset[] = { { "HTTP/1.1 200 OK\r\n\r\ncut",
+	    RESET } };
+	static const struct step truncated[] = {
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", CLOSE }
+	};
+	static const struct step chunk[] = {
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "3\r\ncut\r\n",
+		    CLOSE }
+	};
+	static const struct step garbage[] = { { "\x01\x02 no answer\r\n\r\n",
+	    KEEP } };
+	static const struct step nothing[] = { { "", CLOSE } };
+	static const struct step interim[] = {
+		{ "HTTP/1.1 100 Continue\r\n\r\n" OK_A, KEEP }
+	};
+
+	check_one(whole, HTTP_CALL_OK, "whole");
+	check_one(reset, HTTP_CALL_FAILED, "");
+	check_one(truncated, HTTP_CALL_FAILED, "");
+	check_one(chunk, HTTP_CALL_FAILED, "");
+	check_one(garbage, HTTP_CALL_FAILED, "");
+	check_one(nothing, HTTP_CALL_FAILED, "");
+	check_one(interim, HTTP_CALL_OK, "a");
+}
+
+/* Nothing listens: the server saw nothing, so the call may go elsewhere. */
+static void
+test_not_sent(void)
+{
+	struct fixture f;
+
+	open_fixture(&f, NULL);
+	evconnlistener_free(f.listener);
+	f.listener = NULL;
+	call(&f);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_NOT_SENT);
+	close_fixture(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http_client/keeps", test_keeps_connections);
+	g_test_add_func("/http_client/extra_answers", test_extra_answers);
+	g_test_add_func("/http_client/stray_bytes", test_stray_bytes);
+	g_test_add_func("/http_client/ends", test_ends);
+	g_test_add_func("/http_client/not_sent", test_not_sent);
+	return g_test_run();
+}
