gateway: what a gateway needs without the store comes from a peer

Cause: a gateway that started while the store was away had no deployment and no replicas, and answered 503 until the store was back; one that the store alone turned away did not learn which plain replicas leave. Gateways now listen for one another and ask a seed for the listed replicas; the deployment follows by the versions on the messages. Ruled out: by way of the sidecars, which a new gateway cannot find without the list.

Test: a gateway started beside a stopped store serves streams and bookings (failed before: never ready).

--- a/src/coordination/deployment_share.c
+++ b/src/coordination/deployment_share.c
@@ -149,7 +149,7 @@
 	struct tm_deployment_ask ask = { deployment_share_version(s) };
 
 	if (s->seen <= ask.have || s->source == NULL ||
-	    now - s->behind_since_us < ASK_AFTER_US ||
+	    (ask.have != 0 && now - s->behind_since_us < ASK_AFTER_US) ||
 	    now - s->asked_us < ASK_AGAIN_US)
 		return;
 	s->asked_us = now;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -23,6 +23,8 @@
 #include "gateway/candidates.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/peer_links.h"
+#include "gateway/roster.h"
 #include "gateway/sidecar_links.h"
 #include "protocol/caller.h"
 #include "protocol/problem.h"
@@ -68,6 +70,12 @@
 	    "address of the readiness probe", false },
 	{ "http", "metrics", OPT_ADDR, AT(metrics_listen), 0, 0, "", NULL,
 	    "address of /metrics; empty: none", false },
+	{ "peers", "listen", OPT_ADDR, AT(peer_listen), 0, 0, "", NULL,
+	    "address for other gateways; empty: none", false },
+	{ "peers", "seeds", OPT_STRING, AT(seeds), 0, 0, "", NULL,
+	    "addresses of some gateways, by commas, to ask while the store is "
+	    "away",
+	    false },
 	{ "store", "address", OPT_ADDR, AT(store), 0, 0, NULL, NULL,
 	    "address of the platform's store", false },
 	{ "store", "timeout_ms", OPT_INT, AT(store_timeout_ms), 10, 60000,
@@ -98,6 +106,32 @@
 	sidecar_links_refresh(g->links);
 }
 
+static void
+on_replica_record(void *ctx, const struct fleet_record *record)
+{
+	struct gateway *g = ctx;
+
+	roster_record(g->roster, record);
+	backends_record(g->backends, record);
+}
+
+static void
+on_replicas_begin(void *ctx)
+{
+	struct gateway *g = ctx;
+
+	roster_clear(g->roster);
+	backends_snapshot_begin(g->backends);
+}
+
+static void
+on_replicas_end(void *ctx)
+{
+	struct gateway *g = ctx;
+
+	backends_snapshot_end(g->backends);
+}
+
 static void
 ignore_snapshot(void *ctx)
 {
@@ -256,6 +290,7 @@
 	process_timer_add(g->tick, TICK_US);
 	backends_tick(g->backends);
 	deployment_share_tick(g->share);
+	peer_links_tick(g->peers);
 	sidecar_links_tick(g->links);
 	exchanges_review(g);
 	if (g->stop_us == 0)
@@ -317,11 +352,13 @@
 	g->prefixes = prefix_map_create(PREFIXES);
 	g->paces = pace_create();
 	g->rates = model_rates_create();
+	g->roster = roster_create();
 	g->backends = backends_create(g);
 	g->links = sidecar_links_create(g);
 	return g->share == NULL || g->budget == NULL || g->prefixes == NULL ||
 		       g->paces == NULL || g->rates == NULL ||
-		       g->backends == NULL || g->links == NULL
+		       g->roster == NULL || g->backends == NULL ||
+		       g->links == NULL
 		   ? -1
 		   : 0;
 }
@@ -341,9 +378,9 @@
 	g->deployment_feed = follow(g, FLEET_DEPLOYMENT, "deployment", 0,
 	    deployment_share_record, ignore_snapshot, ignore_snapshot,
 	    g->share);
-	g->replica_feed = follow(g, FLEET_REPLICAS, "replicas",
-	    REPLICA_PAUSE_US, backends_record, backends_snapshot_begin,
-	    backends_snapshot_end, g->backends);
+	g->replica_feed =
+	    follow(g, FLEET_REPLICAS, "replicas", REPLICA_PAUSE_US,
+		on_replica_record, on_replicas_begin, on_replicas_end, g);
 	return g->deployment_feed == NULL || g->replica_feed == NULL ? -1 : 0;
 }
 
@@ -398,6 +435,12 @@
 		    LF_S("why", "bad address or no memory"));
 		goto out;
 	}
+	g->peers = peer_links_create(g);
+	if (g->peers == NULL) {
+		log_error(g->process.logger, "cannot listen",
+		    LF_S("address", g->settings.peer_listen));
+		goto out;
+	}
 	if (listen_all(g, ready_routes) == -1)
 		goto out;
 	g->tick = process_timer(&g->process, on_tick, g);
@@ -414,10 +457,12 @@
 	keyed_feed_destroy(g->deployment_feed);
 	keyed_feed_destroy(g->replica_feed);
 	g->adapter->store->destroy(g->store);
+	peer_links_destroy(g->peers);
 	sidecar_links_destroy(g->links);
 	g->links = NULL;
 	backends_destroy(g->backends);
 	candidates_forget(g);
+	roster_destroy(g->roster);
 	pace_destroy(g->paces);
 	model_rates_destroy(g->rates);
 	prefix_map_destroy(g->prefixes);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -22,7 +22,9 @@
 struct sidecar_links;
 struct model_pace;
 struct model_rates;
+struct peer_links;
 struct prefix_map;
+struct roster;
 struct retry_budget;
 
 struct gateway_settings {
@@ -32,6 +34,8 @@
 	char *listen;
 	char *ready_listen;
 	char *metrics_listen;
+	char *peer_listen;
+	char *seeds;
 	char *store;
 	int64_t store_timeout_ms;
 	int64_t sidecar_port;
@@ -65,6 +69,8 @@
 	struct deployment *deployment; /* in force; NULL until the first one */
 	struct backends *backends;
 	struct sidecar_links *links;
+	struct peer_links *peers;
+	struct roster *roster;
 	struct http_server *front;
 	struct http_server *ready;
 	struct http_server *metrics_http;
--- /dev/null
+++ b/src/gateway/roster.c
@@ -0,0 +1,97 @@
+#include "gateway/roster.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "protocol/tm_xdr.h"
+
+struct entry {
+	char *key;
+	unsigned char *value;
+	size_t len;
+	UT_hash_handle hh;
+};
+
+struct roster {
+	struct entry *entries;
+};
+
+struct roster *
+roster_create(void)
+{
+	return calloc(1, sizeof(struct roster));
+}
+
+static void
+forget(struct roster *r, struct entry *e)
+{
+	HASH_DEL(r->entries, e);
+	free(e->key);
+	free(e->value);
+	free(e);
+}
+
+void
+roster_clear(struct roster *r)
+{
+	struct entry *e, *next;
+
+	HASH_ITER(hh, r->entries, e, next)
+		forget(r, e);
+}
+
+void
+roster_destroy(struct roster *r)
+{
+	if (r == NULL)
+		return;
+	roster_clear(r);
+	free(r);
+}
+
+void
+roster_record(struct roster *r, const struct fleet_record *record)
+{
+	struct entry *e;
+
+	HASH_FIND(hh, r->entries, record->key, record->key_len, e);
+	if (e != NULL)
+		forget(r, e);
+	if (record->len == 0)
+		return;
+	e = calloc(1, sizeof(*e));
+	if (e == NULL)
+		abort();
+	e->key = strndup(record->key, record->key_len);
+	e->value = malloc(record->len);
+	if (e->key == NULL || e->value == NULL)
+		abort();
+	memcpy(e->value, record->value, record->len);
+	e->len = record->len;
+	HASH_ADD_KEYPTR(hh, r->entries, e->key, strlen(e->key), e);
+}
+
+void
+roster_fill(const struct roster *r, struct tm_roster_reply *out)
+{
+	struct entry *e, *next;
+	u_int count = 0;
+
+	out->entries.entries_val = calloc(
+	    HASH_COUNT(r->entries) + 1, sizeof(*out->entries.entries_val));
+	if (out->entries.entries_val == NULL)
+		abort();
+	HASH_ITER(hh, r->entries, e, next) {
+		struct tm_roster_entry *to = &out->entries.entries_val[count];
+
+		if (strlen(e->key) > TM_NAME_MAX || count == TM_LIST_MAX)
+			continue; /* names no replica that is in use */
+		to->key = e->key;
+		to->value.value_val = (char *)e->value;
+		to->value.value_len = (u_int)e->len;
+		count++;
+	}
+	out->entries.entries_len = count;
+}
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -45,6 +45,7 @@
 	struct rpc_handler handlers[HANDLERS + 2];
 	unsigned gateways; /* that a sidecar counted */
 	int64_t told_us;
+	bool closing;
 };
 
 static struct backend *
@@ -200,7 +201,7 @@
 	struct backend *b = rpc_conn_owner(conn);
 
 	deployment_share_closed(l->gateway->share, conn);
-	if (b == NULL || b->conn != conn)
+	if (b == NULL || b->conn != conn || l->closing)
 		return;
 	log_warn(l->gateway->process.logger, "sidecar lost",
 	    LF_S("replica", b->entry.id));
@@ -412,6 +413,7 @@
 {
 	if (l == NULL)
 		return;
+	l->closing = true;
 	rpc_destroy(l->rpc);
 	free(l);
 }
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -553,6 +553,21 @@
 	opaque doc<TM_BODY_MAX>;
 };
 
+/* Between gateways: the replicas listed, as the platform's store had them. */
+struct tm_roster_ask {
+	bool have;			/* the asker knows some replicas */
+};
+
+struct tm_roster_entry {
+	tm_name key;
+	opaque value<TM_BODY_MAX>;
+};
+
+struct tm_roster_reply {
+	bool current;			/* the sender can read the store */
+	tm_roster_entry entries<TM_LIST_MAX>;
+};
+
 program TM_PROG {
 	version TM_V1 {
 		tm_hello_reply TM_HELLO(tm_hello_args) = 1;
@@ -583,5 +598,6 @@
 		void TM_DEPLOYMENT_ASK(tm_deployment_ask) = 25;
 		tm_read_reply TM_READ(tm_read_args) = 26;
 		void TM_READ_DONE(tm_read_done) = 27;
+		tm_roster_reply TM_ROSTER(tm_roster_ask) = 28;
 	} = 1;
 } = 0x20746d31;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1337,3 +1337,38 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_tm_roster_ask (XDR *xdrs, tm_roster_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->have))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_roster_entry (XDR *xdrs, tm_roster_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_tm_name (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, TM_BODY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_roster_reply (XDR *xdrs, tm_roster_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->current))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, TM_LIST_MAX,
+		sizeof (tm_roster_entry), (xdrproc_t) xdr_tm_roster_entry))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -658,6 +658,29 @@
 };
 typedef struct tm_deployment_doc tm_deployment_doc;
 
+struct tm_roster_ask {
+	bool_t have;
+};
+typedef struct tm_roster_ask tm_roster_ask;
+
+struct tm_roster_entry {
+	tm_name key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct tm_roster_entry tm_roster_entry;
+
+struct tm_roster_reply {
+	bool_t current;
+	struct {
+		u_int entries_len;
+		tm_roster_entry *entries_val;
+	} entries;
+};
+typedef struct tm_roster_reply tm_roster_reply;
+
 #define TM_PROG 0x20746d31
 #define TM_V1 1
 
@@ -743,6 +766,9 @@
 #define TM_READ_DONE 27
 extern  void * tm_read_done_1(tm_read_done *, CLIENT *);
 extern  void * tm_read_done_1_svc(tm_read_done *, struct svc_req *);
+#define TM_ROSTER 28
+extern  tm_roster_reply * tm_roster_1(tm_roster_ask *, CLIENT *);
+extern  tm_roster_reply * tm_roster_1_svc(tm_roster_ask *, struct svc_req *);
 extern int tm_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -827,6 +853,9 @@
 #define TM_READ_DONE 27
 extern  void * tm_read_done_1();
 extern  void * tm_read_done_1_svc();
+#define TM_ROSTER 28
+extern  tm_roster_reply * tm_roster_1();
+extern  tm_roster_reply * tm_roster_1_svc();
 extern int tm_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -906,6 +935,9 @@
 extern  bool_t xdr_tm_replica_use (XDR *, tm_replica_use*);
 extern  bool_t xdr_tm_deployment_ask (XDR *, tm_deployment_ask*);
 extern  bool_t xdr_tm_deployment_doc (XDR *, tm_deployment_doc*);
+extern  bool_t xdr_tm_roster_ask (XDR *, tm_roster_ask*);
+extern  bool_t xdr_tm_roster_entry (XDR *, tm_roster_entry*);
+extern  bool_t xdr_tm_roster_reply (XDR *, tm_roster_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_tm_id ();
@@ -981,6 +1013,9 @@
 extern bool_t xdr_tm_replica_use ();
 extern bool_t xdr_tm_deployment_ask ();
 extern bool_t xdr_tm_deployment_doc ();
+extern bool_t xdr_tm_roster_ask ();
+extern bool_t xdr_tm_roster_entry ();
+extern bool_t xdr_tm_roster_reply ();
 
 #endif /* K&R C */
 
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -36,6 +36,7 @@
 	struct proc gateways[GATEWAYS];
 	char front[GATEWAYS][HARNESS_TEXT];
 	char ready[GATEWAYS][HARNESS_TEXT];
+	char peer[GATEWAYS][HARNESS_TEXT];
 	int version;
 	int requests;
 } fleet;
@@ -156,9 +157,10 @@
 	char *name = g_strdup_printf("gateway-%d", i);
 	char *settings = g_strdup_printf(
 	    "[daemon]\nvm = %s\nzone = a\n[http]\nlisten = %s\nready = %s\n"
+	    "[peers]\nlisten = %s\nseeds = %s,%s\n"
 	    "[store]\naddress = %s\n[sidecars]\nport = %d\n",
-	    name, fleet.front[i], fleet.ready[i], fleet.store,
-	    fleet.sidecar_port);
+	    name, fleet.front[i], fleet.ready[i], fleet.peer[i], fleet.peer[0],
+	    fleet.peer[1], fleet.store, fleet.sidecar_port);
 
 	start_daemon(&fleet.gateways[i], name, "gateway", settings);
 	g_free(settings);
@@ -232,8 +234,10 @@
 	for (int i = 0; i < GATEWAYS; i++) {
 		new_address(fleet.front[i]);
 		new_address(fleet.ready[i]);
-		start_gateway(i);
+		new_address(fleet.peer[i]);
 	}
+	for (int i = 0; i < GATEWAYS; i++)
+		start_gateway(i);
 	for (int i = 0; i < GATEWAYS; i++)
 		await_true(gateway_ready, fleet.ready[i], "gateway ready");
 }
@@ -500,6 +504,28 @@
 	stop_fleet();
 }
 
+/* A gateway that starts meanwhile asks another for all that it needs. */
+static void
+test_starts_without_store(void)
+{
+	struct answer a;
+
+	start_fleet();
+	proc_stop(&fleet.gateways[1]);
+	proc_clear(&fleet.gateways[1]);
+	proc_signal(&fleet.store_proc, SIGSTOP);
+	start_gateway(1);
+	await_true(gateway_ready, fleet.ready[1], "ready out of a peer");
+	send_request(&a, 1, "/stream/1", "m1");
+	assert_whole_stream(&a);
+	answer_clear(&a);
+	send_request(&a, 1, "/book/1", NULL);
+	g_assert_cmpint(a.code, ==, 200);
+	answer_clear(&a);
+	proc_signal(&fleet.store_proc, SIGCONT);
+	stop_fleet();
+}
+
 static bool
 not_ready(void *ready)
 {
@@ -593,6 +619,8 @@
 	g_test_add_func("/gateway/silent_replica", test_leaves_silent_replica);
 	g_test_add_func("/gateway/configuration", test_configuration_and_drain);
 	g_test_add_func("/gateway/without_store", test_without_store);
+	g_test_add_func(
+	    "/gateway/starts_without_store", test_starts_without_store);
 	g_test_add_func("/gateway/graceful_stop", test_graceful_stop);
 	g_test_add_func("/gateway/smuggling", test_smuggling);
 	return g_test_run();
