--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -34,4 +34,17 @@
 page docs/RESULT-CODES.md "$bin" ctl explain all
 page docs/DECLARATIONS.md "$bin" ctl explain declarations
 bash scripts/check-metrics.sh || bad=1
+
+# Every line that the operations page names is written by some source.
+{
+	grep -oE '"msg":"[^"]+"' docs/OPERATIONS.md | cut -d'"' -f4
+	sed -n 's/^| \(`.*`\) |.*/\1/p' docs/OPERATIONS.md |
+		grep -oE '`[a-z ]+ [a-z ]+`' | tr -d '`'
+} | sort -u | while read -r line; do
+	if ! cat src/gateway/*.c src/sidecar/*.c src/coordination/*.c \
+	    src/common/reload.c | grep -qF "\"$line\""; then
+		echo "docs/OPERATIONS.md names a line that nothing writes: $line"
+		exit 1
+	fi
+done || bad=1
 exit $bad
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -315,6 +315,7 @@
 		    "no replica can run it", 500 * USEC_PER_MSEC);
 		return;
 	}
+	x->predicted_us = choice.made.first_us;
 	if (choice.made.first_us > patience_left_us(x)) {
 		/* Callers come back, and others ask for it too. */
 		if (choice.made.load_us > 0)
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -399,6 +399,9 @@
 	g_assert_cmpfloat(a.seconds, <, 3);
 	answer_clear(&a);
 	g_assert_cmpint(runs(fleet.services, SERVICES, "runs"), ==, 2);
+	/* The way from its id to the cause, as docs/OPERATIONS.md has it. */
+	g_assert_true(proc_logged(&fleet.gateways[0], "answer lost"));
+	g_assert_true(proc_logged(&fleet.gateways[1], "deadline passed"));
 	stop_fleet();
 }
 
