coordination: fewer calls to a store that is away

A feed that knows its topic now waits up to 2 s, and changes are gathered for 0.55 of the drain bound.

--- a/src/coordination/keyed_feed.c
+++ b/src/coordination/keyed_feed.c
@@ -11,7 +11,9 @@
 #include "common/rng.h"
 
 #define RETRY_FIRST_US (100 * USEC_PER_MSEC)
-#define RETRY_MAX_US (800 * USEC_PER_MSEC) /* half of a configuration's 2 s */
+/* Longest pauses: of one that knows nothing yet, and of one that does. */
+#define RETRY_NEW_US (800 * USEC_PER_MSEC)
+#define RETRY_MAX_US (2 * USEC_PER_SEC) /* each call has its price */
 
 struct keyed_feed {
 	struct keyed_feed_options opts;
@@ -71,13 +73,14 @@
 static void
 retry(struct keyed_feed *f)
 {
+	int64_t most = f->complete ? RETRY_MAX_US : RETRY_NEW_US;
 	int64_t pause =
 	    (int64_t)((double)f->retry_us * (0.5 + 0.5 * rng_real(&f->rng)));
 
 	process_timer_add(f->timer, pause);
 	f->retry_us *= 2;
-	if (f->retry_us > RETRY_MAX_US)
-		f->retry_us = RETRY_MAX_US;
+	if (f->retry_us > most)
+		f->retry_us = most;
 }
 
 static void
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -34,10 +34,10 @@
 #define TICK_US (50 * USEC_PER_MSEC)
 #define LONG_POLL_US (25 * USEC_PER_SEC)
 /*
- * Gathers the changes of many replicas into one call.  Sidecars tell at once
- * when their replica drains; for the others the store allows 2 s.
+ * Changes of many replicas are gathered into one call for this share of the
+ * time within which a draining replica must get no more work.
  */
-#define REPLICA_PAUSE_US (1100 * USEC_PER_MSEC)
+#define GATHER_SHARE 0.55
 #define IDLE_TIMEOUT_US (60 * USEC_PER_SEC) /* beyond what callers may idle */
 #define MAX_BODY (8 * 1024 * 1024) /* bytes; the deployment sets less */
 #define MAX_HEADERS 65536 /* bytes; likewise */
@@ -84,6 +84,9 @@
 	    "entries that expire in an outage are back within this time of its "
 	    "end",
 	    true },
+	{ "store", "drain_within_ms", OPT_INT, AT(drain_within_ms), 100, 60000,
+	    "2000", "ms", "a replica that drains gets no work after this time",
+	    false },
 	{ "sidecars", "port", OPT_INT, AT(sidecar_port), 1, 65535, NULL, NULL,
 	    "port of the sidecars", false },
 	{ "retries", "share", OPT_REAL, AT(retry_share), 0, 100, "0.2", NULL,
@@ -372,15 +375,18 @@
 		.timeout_us = g->settings.store_timeout_ms * USEC_PER_MSEC,
 	};
 
+	int64_t gather_us =
+	    (int64_t)(GATHER_SHARE * (double)g->settings.drain_within_ms) *
+	    USEC_PER_MSEC;
+
 	g->store = g->adapter->store->create(&store);
 	if (g->store == NULL)
 		return -1;
 	g->deployment_feed = follow(g, FLEET_DEPLOYMENT, "deployment", 0,
 	    deployment_share_record, ignore_snapshot, ignore_snapshot,
 	    g->share);
-	g->replica_feed =
-	    follow(g, FLEET_REPLICAS, "replicas", REPLICA_PAUSE_US,
-		on_replica_record, on_replicas_begin, on_replicas_end, g);
+	g->replica_feed = follow(g, FLEET_REPLICAS, "replicas", gather_us,
+	    on_replica_record, on_replicas_begin, on_replicas_end, g);
 	return g->deployment_feed == NULL || g->replica_feed == NULL ? -1 : 0;
 }
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -41,6 +41,7 @@
 	int64_t sidecar_port;
 	int64_t drain_ms;
 	int64_t lapse_ms;
+	int64_t drain_within_ms;
 	double retry_share;
 	int64_t retry_floor;
 	int64_t retry_sharers;
