gateway, sidecar: less work for each request and report

The model is looked up once, and load is told at once only where it would change a choice, else once a second.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -353,12 +353,11 @@
 }
 
 int64_t
-backend_load_us(const struct backend *b, const struct engine_spec *engine,
+backend_load_us(const struct backend *b, const struct model_spec *spec,
     const char *model, const char *adapter, int64_t now_us)
 {
 	const struct replica_state *s = &b->entry.state;
 	const struct held_model *m = held(s, model);
-	const struct model_spec *spec = engine_model(engine, model);
 	int64_t extra = adapter[0] == '\0' ? 0 : ADAPTER_LOAD_US;
 	int64_t us;
 
@@ -399,12 +398,8 @@
 }
 
 bool
-backend_has_room(const struct backend *b, const struct service_spec *service,
-    const char *model)
+backend_has_room(const struct backend *b, const struct model_spec *spec)
 {
-	const struct model_spec *spec =
-	    service->has_engine ? engine_model(&service->engine, model) : NULL;
-
 	return spec != NULL && b->free_mb >= spec->size_mb;
 }
 
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -17,8 +17,7 @@
 #include "protocol/fleet.h"
 
 struct backends;
-struct engine_spec;
-struct service_spec;
+struct model_spec;
 struct gateway;
 struct http_client;
 struct rpc_conn;
@@ -85,15 +84,14 @@
 bool backend_takes_work(const struct backend *);
 
 /* Time until the model, and the adapter if any, can run there. */
-int64_t backend_load_us(const struct backend *, const struct engine_spec *,
+int64_t backend_load_us(const struct backend *, const struct model_spec *,
     const char *model, const char *adapter, int64_t now_us);
 
 /* Whether the model is loaded there, or in its memory or on its disk. */
 bool backend_has_copy(const struct backend *, const char *model);
 
 /* Whether the model fits there without evicting another. */
-bool backend_has_room(
-    const struct backend *, const struct service_spec *, const char *model);
+bool backend_has_room(const struct backend *, const struct model_spec *);
 
 /* A replica refused what it should hold. */
 void backend_doubt(struct backend *, int64_t now_us);
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -65,7 +65,7 @@
 }
 
 static void
-fill(const struct gateway *g, const struct service_spec *service,
+fill(const struct gateway *g, const struct model_spec *spec,
     const struct request_terms *terms, const struct backend *b, int64_t now,
     struct select_replica *r)
 {
@@ -87,13 +87,12 @@
 	r->kv_free = b->has_report && b->entry.state.kv_total > 0
 			 ? b->entry.state.kv_total - b->kv_used
 			 : -1;
-	if (!service->has_engine || terms->model[0] == '\0')
+	if (terms->model[0] == '\0')
 		return;
-	r->victim_idle_us = backend_has_room(b, service, terms->model)
-				? INT64_MAX
-				: b->victim_idle_us;
-	r->load_us = backend_load_us(
-	    b, &service->engine, terms->model, terms->adapter, now);
+	r->victim_idle_us =
+	    backend_has_room(b, spec) ? INT64_MAX : b->victim_idle_us;
+	r->load_us =
+	    backend_load_us(b, spec, terms->model, terms->adapter, now);
 }
 
 struct candidates *
@@ -104,6 +103,9 @@
 	static struct candidates c;
 	struct backend *b = NULL;
 	int64_t now = clock_now(g->process.clock);
+	const struct model_spec *spec =
+	    service->has_engine ? engine_model(&service->engine, terms->model)
+				: NULL;
 
 	c.count = 0;
 	c.query.model = terms->model;
@@ -117,7 +119,7 @@
 	       c.count < CANDIDATES_MAX) {
 		if (!b->listed || strcmp(b->entry.service, service->name) != 0)
 			continue;
-		fill(g, service, terms, b, now, &c.replicas[c.count]);
+		fill(g, spec, terms, b, now, &c.replicas[c.count]);
 		c.replicas[c.count].usable =
 		    backend_takes_work(b) && !was_tried(b, tried, tried_count);
 		c.backends[c.count++] = b;
--- a/src/sidecar/peers.c
+++ b/src/sidecar/peers.c
@@ -31,7 +31,11 @@
 #define READ_BATCH_TOKENS 12000
 #define READ_TOKENS_PER_MS 38.0 /* of the engines in use */
 #define READ_GRANT_US (2 * USEC_PER_SEC)
-#define READING_STEP 50 /* permille that are worth a message */
+/* Changes that are worth a message to all gateways at once. */
+#define READING_STEP 100 /* permille */
+#define LOAD_STEP 3 /* requests */
+#define GATE_STEP 2000 /* tokens */
+#define LOAD_REFRESH_US (1 * USEC_PER_SEC) /* smaller ones wait for it */
 #define USES_MAX 256 /* of one gateway */
 #define KEY_SIZE (2 * FLEET_NAME_MAX + 2)
 
@@ -365,6 +369,28 @@
 	    p->conn, TM_REPLICA_LOAD, (xdrproc_t)xdr_tm_replica_load, load);
 }
 
+static bool
+differs(int64_t a, int64_t b, int64_t by)
+{
+	return a - b >= by || b - a >= by;
+}
+
+/* Whether gateways would choose otherwise. */
+static bool
+load_changed(const struct tm_replica_load *old,
+    const struct tm_replica_load *new, int64_t kv_total)
+{
+	int64_t running = (int64_t)old->active + old->queued;
+	int64_t step = running / 4 < LOAD_STEP ? LOAD_STEP : running / 4;
+
+	return differs((int64_t) new->active + new->queued, running, step) ||
+	       differs(new->kv_used, old->kv_used, kv_total / 8 + 1) ||
+	       differs((int64_t) new->gate_tokens, (int64_t)old->gate_tokens,
+		   GATE_STEP) ||
+	       differs(
+		   new->reading_permille, old->reading_permille, READING_STEP);
+}
+
 static void
 tell_load(struct peers *ps)
 {
@@ -381,11 +407,10 @@
 	load.kv_used = s->kv_used;
 	load.reading_permille =
 	    (u_int)(steering_reading_share(ps->sidecar->steering) * 1000);
-	if (load.queued == ps->load.queued && load.active == ps->load.active &&
-	    load.kv_used == ps->load.kv_used &&
-	    load.gate_tokens == ps->load.gate_tokens &&
-	    load.reading_permille / READING_STEP ==
-		ps->load.reading_permille / READING_STEP)
+	if (!load_changed(&ps->load, &load, s->kv_total) &&
+	    now - ps->load_us < LOAD_REFRESH_US)
+		return;
+	if (memcmp(&load, &ps->load, sizeof(load)) == 0)
 		return;
 	ps->load = load;
 	ps->load_us = now;
