--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -281,11 +281,6 @@
 	}
 }
 
-void
-backends_snapshot_end(void *ctx)
-{
-}
-
 void
 backends_tick(struct backends *all)
 {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -68,10 +68,12 @@
 struct backends *backends_create(struct gateway *);
 void backends_destroy(struct backends *);
 
-/* Callbacks of the feed. */
+/*
+ * Callbacks of the feed.  A replica without a record since the last beginning
+ * of a reading of all keys lapses.
+ */
 void backends_record(void *ctx, const struct fleet_record *);
 void backends_snapshot_begin(void *ctx);
-void backends_snapshot_end(void *ctx);
 
 /* Ends what lapsed, and frees what nobody uses. */
 void backends_tick(struct backends *);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -127,14 +127,6 @@
 	backends_snapshot_begin(g->backends);
 }
 
-static void
-on_replicas_end(void *ctx)
-{
-	struct gateway *g = ctx;
-
-	backends_snapshot_end(g->backends);
-}
-
 static void
 ignore_snapshot(void *ctx)
 {
@@ -374,7 +366,6 @@
 		.address = g->settings.store,
 		.timeout_us = g->settings.store_timeout_ms * USEC_PER_MSEC,
 	};
-
 	int64_t gather_us =
 	    (int64_t)(GATHER_SHARE * (double)g->settings.drain_within_ms) *
 	    USEC_PER_MSEC;
@@ -386,7 +377,7 @@
 	    deployment_share_record, ignore_snapshot, ignore_snapshot,
 	    g->share);
 	g->replica_feed = follow(g, FLEET_REPLICAS, "replicas", gather_us,
-	    on_replica_record, on_replicas_begin, on_replicas_end, g);
+	    on_replica_record, on_replicas_begin, ignore_snapshot, g);
 	return g->deployment_feed == NULL || g->replica_feed == NULL ? -1 : 0;
 }
 
--- a/src/gateway/peer_links.c
+++ b/src/gateway/peer_links.c
@@ -81,8 +81,6 @@
 		record.len = e->value.value_len;
 		backends_record(g->backends, &record);
 	}
-	if (reply->current)
-		backends_snapshot_end(g->backends);
 }
 
 static void
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -374,9 +374,8 @@
 	strlcpy(s->order_adapter, step->adapter == NULL ? "" : step->adapter,
 	    sizeof(s->order_adapter));
 	if (s->order_is_load && step->adapter == NULL &&
-	    from_store(s, step->model)) {
+	    from_store(s, step->model))
 		(*s->store_loads)++;
-	}
 	(*s->orders)++;
 	log_info(sc->process.logger, "order sent", LF_S("model", step->model),
 	    LF_S("adapter", s->order_adapter), LF_I("load", s->order_is_load),
