--- /dev/null
+++ b/src/gateway/exchange_answer.c
@@ -0,0 +1,305 @@
+/* What becomes of a replica's answer, or of none: passed on, or sent again. */
+#include <string.h>
+
+#include <bsd/sys/queue.h>
+#include <event2/buffer.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "coordination/retry_budget.h"
+#include "gateway/backends.h"
+#include "gateway/exchange_internal.h"
+#include "protocol/caller.h"
+#include "protocol/event_stream.h"
+#include "state/deployment.h"
+
+#define HTTP_MISDIRECTED 421 /* RFC 9110, section 15.5.20 */
+#define USUAL_WEIGHT 0.1 /* of the newest answer */
+
+/* ---- sending again ---- */
+
+static bool
+may_send_again(struct exchange *x)
+{
+	if (x->attempts >= x->route->max_attempts)
+		return false;
+	if (exchange_left_us(x) < SEND_MIN_US)
+		return false;
+	return retry_budget_take(x->gateway->budget, x->service);
+}
+
+static void
+send_again(struct exchange *x, const char *why)
+{
+	struct gateway *g = x->gateway;
+
+	(*g->counters.resent)++;
+	if (x->begun)
+		(*g->counters.resumed)++;
+	log_info(g->process.logger, "request sent again",
+	    LF_S("request", x->terms.id), LF_S("why", why),
+	    LF_I("attempts", x->attempts), LF_I("begun", x->begun),
+	    LF_I("left_us", exchange_left_us(x)));
+	exchange_dispatch(x);
+}
+
+/* The replica said, or the connection shows, that it was not run there. */
+static void
+after_not_run(struct exchange *x, const char *why)
+{
+	if (may_send_again(x))
+		send_again(x, why);
+	else
+		exchange_refuse(x, RESULT_QUEUE_FULL, why, 300 * USEC_PER_MSEC);
+}
+
+/* The replica may have run it. */
+static void
+after_lost(struct exchange *x, const char *why)
+{
+	x->may_have_run = true;
+	if (route_may_repeat(x->route) && may_send_again(x))
+		send_again(x, why);
+	else
+		exchange_fail(x, RESULT_OUTCOME_UNKNOWN, why);
+}
+
+void
+exchange_on_silence(int fd, short what, void *arg)
+{
+	struct exchange *x = arg;
+
+	if (x->call == NULL || !may_send_again(x))
+		return;
+	exchange_note_silence(x);
+	x->may_have_run = true;
+	exchange_drop_call(x);
+	send_again(x, "replica is silent");
+}
+
+static void
+after_unreachable(struct exchange *x)
+{
+	if (++x->unreachable < EXCHANGE_TRIED_MAX &&
+	    exchange_left_us(x) > SEND_MIN_US)
+		send_again(x, "no connection");
+	else
+		exchange_refuse(x, RESULT_BACKEND_UNREACHABLE, "no connection",
+		    300 * USEC_PER_MSEC);
+}
+
+/* ---- the answer ---- */
+
+static void
+pass_headers(struct exchange *x)
+{
+	const char *connection = evhttp_find_header(&x->headers, "Connection");
+	struct evkeyval *h;
+
+	TAILQ_FOREACH(h, &x->headers, next) {
+		if (!exchange_is_connection_header(h->key, connection))
+			caller_add_header(x->caller, h->key, h->value);
+	}
+	if (x->gateway->stop_us != 0)
+		caller_add_header(x->caller, "Connection", "close");
+}
+
+static void
+begin(struct exchange *x)
+{
+	if (x->begun)
+		return;
+	x->begun = true;
+	pass_headers(x);
+	caller_begin(x->caller, x->code, NULL);
+}
+
+enum http_head_verdict
+exchange_on_head(void *ctx, int code, struct evkeyvalq *headers)
+{
+	struct exchange *x = ctx;
+	struct answer_facts facts;
+	struct evkeyval *h;
+
+	x->gateway->adapter->read_answer(headers, code, &facts);
+	if (facts.request[0] != '\0' &&
+	    strcmp(facts.request, x->terms.id) != 0) {
+		log_warn(x->gateway->process.logger,
+		    "answer to another request left out",
+		    LF_S("request", x->terms.id), LF_S("other", facts.request),
+		    LF_S("replica", x->backend->entry.id));
+		return HTTP_HEAD_SKIP;
+	}
+	x->code = code;
+	x->facts = facts;
+	x->relaying = x->route->kind == ROUTE_STREAM && code >= 200 &&
+		      code < 300 && facts.sealed;
+	if (x->begun)
+		return HTTP_HEAD_TAKE; /* the first replica's head stays */
+	evhttp_clear_headers(&x->headers);
+	TAILQ_FOREACH(h, headers, next)
+		evhttp_add_header(&x->headers, h->key, h->value);
+	return HTTP_HEAD_TAKE;
+}
+
+static void
+note_piece(struct exchange *x)
+{
+	int64_t now = clock_now(x->gateway->process.clock);
+
+	if (x->first_us == 0)
+		x->first_us = now - x->arrived_us;
+	else if (now - x->last_piece_us > x->max_gap_us)
+		x->max_gap_us = now - x->last_piece_us;
+	x->last_piece_us = now;
+}
+
+/* -1 if the caller reads too slowly. */
+static int
+pass_event(struct exchange *x, struct evbuffer *buf, struct stream_event *ev)
+{
+	int rc = 0;
+
+	if (ev->has_id && x->has_last && ev->id <= x->last_event) {
+		evbuffer_drain(buf, ev->len);
+		return 0;
+	}
+	begin(x);
+	rc = caller_chunk(
+	    x->caller, evbuffer_pullup(buf, (ev_ssize_t)ev->len), ev->len);
+	evbuffer_drain(buf, ev->len);
+	note_piece(x);
+	exchange_watch_silence(x);
+	if (ev->has_id) {
+		x->has_last = true;
+		x->last_event = ev->id;
+	}
+	return rc;
+}
+
+void
+exchange_on_chunk(void *ctx, struct evbuffer *buf)
+{
+	struct exchange *x = ctx;
+	struct stream_event ev;
+
+	if (!x->relaying)
+		return; /* passed on when it is whole */
+	while (event_stream_next(buf, &ev)) {
+		if (x->pending_tokens > 0)
+			exchange_note_first_piece(x);
+		if (pass_event(x, buf, &ev) == -1) {
+			exchange_fail(
+			    x, RESULT_STREAM_BROKEN, "caller reads too slowly");
+			return;
+		}
+	}
+}
+
+static void
+finish_stream(struct exchange *x, struct evbuffer *rest)
+{
+	size_t len = evbuffer_get_length(rest);
+
+	begin(x);
+	if (len > 0)
+		(void)caller_chunk(x->caller, evbuffer_pullup(rest, -1), len);
+	caller_finish(x->caller);
+	exchange_finish(x, "stream");
+}
+
+static void
+pass_answer(struct exchange *x, struct evbuffer *body)
+{
+	pass_headers(x);
+	caller_reply_buffer(x->caller, x->code, body);
+	exchange_finish(x, "whole");
+}
+
+static void
+note_usual(struct exchange *x)
+{
+	struct backend *b = x->backend;
+	int64_t took = clock_now(x->gateway->process.clock) - x->sent_us;
+
+	if (b->usual_us == 0)
+		b->usual_us = took;
+	b->usual_us += (int64_t)(USUAL_WEIGHT * (double)(took - b->usual_us));
+}
+
+/* Another incarnation answered, or one that does not hold the model. */
+static void
+note_misdirected(struct exchange *x)
+{
+	struct backend *b = x->backend;
+
+	if (x->facts.replica[0] != '\0' &&
+	    strcmp(x->facts.replica, b->entry.id) != 0)
+		b->superseded = true;
+	else
+		backend_doubt(b, clock_now(x->gateway->process.clock));
+	log_info(x->gateway->process.logger, "replica refused as misdirected",
+	    LF_S("request", x->terms.id), LF_S("replica", b->entry.id),
+	    LF_S("answered_by", x->facts.replica));
+}
+
+static void
+on_answer(struct exchange *x, struct evbuffer *body)
+{
+	bool ok = x->code >= 200 && x->code < 300;
+
+	if (x->facts.not_run) {
+		if (x->code == HTTP_MISDIRECTED)
+			note_misdirected(x);
+		else
+			exchange_note_outcome(x, OUTLIER_ERROR);
+		exchange_release(x);
+		after_not_run(x, "replica did not run it");
+		return;
+	}
+	if (!x->facts.sealed) {
+		exchange_note_outcome(x, OUTLIER_FAILED);
+		exchange_release(x);
+		after_lost(x, "answer without a seal");
+		return;
+	}
+	exchange_note_outcome(x, x->code >= 500 ? OUTLIER_ERROR : OUTLIER_OK);
+	note_usual(x);
+	exchange_release(x);
+	if (x->begun && !ok) {
+		after_lost(x, "stream could not go on");
+	} else if (x->relaying) {
+		finish_stream(x, body);
+	} else if (x->code >= 500 && x->route->kind == ROUTE_IDEMPOTENT &&
+		   may_send_again(x)) {
+		x->may_have_run = true;
+		send_again(x, "replica failed");
+	} else {
+		pass_answer(x, body);
+	}
+}
+
+void
+exchange_on_done(void *ctx, const struct http_response *resp)
+{
+	struct exchange *x = ctx;
+
+	x->call = NULL;
+	switch (resp->status) {
+	case HTTP_CALL_OK:
+		on_answer(x, resp->body);
+		return;
+	case HTTP_CALL_NOT_SENT:
+		exchange_note_outcome(x, OUTLIER_UNREACHABLE);
+		x->attempts--;
+		exchange_release(x);
+		after_unreachable(x);
+		return;
+	case HTTP_CALL_FAILED:
+	case HTTP_CALL_TIMED_OUT:
+		exchange_note_outcome(x, OUTLIER_FAILED);
+		exchange_release(x);
+		after_lost(x, "answer lost");
+		return;
+	}
+}
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -10,6 +10,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "common/clock.h"
+#include "coordination/outlier.h"
 #include "gateway/gateway_internal.h"
 #include "protocol/fleet.h"
 #include "protocol/result.h"
@@ -80,13 +82,38 @@
 
 /* ---- exchange_send.c ---- */
 
+/* Less time than this left is no use to a replica. */
+#define SEND_MIN_US (5 * USEC_PER_MSEC)
+
+/* Sends, or first asks the sidecar for leave to have the prompt read. */
 void exchange_send(
     struct exchange *, struct backend *, int64_t predicted_us, uint32_t tokens);
-/* The replica has been silent for long. */
-void exchange_on_silence(int fd, short what, void *exchange);
-/* The call ends without an answer: counts against the replica. */
-void exchange_note_silence(struct exchange *);
+/* Headers that concern one connection only, or that `connection` lists. */
+bool exchange_is_connection_header(const char *name, const char *connection);
+
+/* ---- exchange_hold.c ---- */
+
+/* The request counts at the replica until exchange_release(). */
+void exchange_hold(struct exchange *, struct backend *, uint32_t tokens);
+void exchange_release(struct exchange *);
 /* Breaks the call off and lets go of the replica. */
 void exchange_drop_call(struct exchange *);
+void exchange_note_tried(struct exchange *, const struct backend *);
+void exchange_note_outcome(struct exchange *, enum outlier_kind);
+/* The first piece came: the prompt has been read there. */
+void exchange_note_first_piece(struct exchange *);
+/* The replica has a while to say something. */
+void exchange_watch_silence(struct exchange *);
+/* The call ends without an answer: counts against the replica. */
+void exchange_note_silence(struct exchange *);
+
+/* ---- exchange_answer.c ---- */
+
+/* Callbacks of the call, and of the timer that watches for silence. */
+enum http_head_verdict exchange_on_head(
+    void *exchange, int code, struct evkeyvalq *headers);
+void exchange_on_chunk(void *exchange, struct evbuffer *);
+void exchange_on_done(void *exchange, const struct http_response *);
+void exchange_on_silence(int fd, short what, void *exchange);
 
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
@@ -167,15 +166,9 @@
 static void
 on_metrics(void *ctx, struct evhttp_request *req)
 {
-	struct gateway *g = ctx;
-	struct evbuffer *out = evbuffer_new();
-
-	if (out == NULL)
-		abort();
-	metrics_render(g->process.metrics, out);
-	http_reply(req, 200, "text/plain", evbuffer_pullup(out, -1),
-	    evbuffer_get_length(out));
-	evbuffer_free(out);
+	const struct gateway *g = ctx;
+
+	http_reply_metrics(req, g->process.metrics);
 }
 
 static void
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
@@ -92,15 +91,9 @@
 static void
 on_metrics(void *ctx, struct evhttp_request *req)
 {
-	struct sidecar *sc = ctx;
-	struct evbuffer *out = evbuffer_new();
+	const struct sidecar *sc = ctx;
 
-	if (out == NULL)
-		abort();
-	metrics_render(sc->process.metrics, out);
-	http_reply(req, 200, "text/plain", evbuffer_pullup(out, -1),
-	    evbuffer_get_length(out));
-	evbuffer_free(out);
+	http_reply_metrics(req, sc->process.metrics);
 }
 
 static void
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -265,6 +265,19 @@
 	json_decref(doc);
 }
 
+void
+http_reply_metrics(struct evhttp_request *req, const struct metrics *metrics)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	if (out == NULL)
+		abort();
+	metrics_render(metrics, out);
+	http_reply(req, 200, "text/plain; version=0.0.4",
+	    evbuffer_pullup(out, -1), evbuffer_get_length(out));
+	evbuffer_free(out);
+}
+
 const char *
 http_header_in(struct evhttp_request *req, const char *name)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -59,6 +59,9 @@
 /* Answers with a document; steals the reference. */
 void http_reply_json(struct evhttp_request *, int code, struct json_t *);
 
+/* Answers with all series of the registry, as scrapers expect them. */
+void http_reply_metrics(struct evhttp_request *, const struct metrics *);
+
 const char *http_header_in(struct evhttp_request *, const char *name);
 
 /*
