test: soak of gateways and sidecars; the fleet's harness in files of its own

Real gateways, sidecars and stand-ins under seeded faults from outside: processes killed, paused, stopped and restarted, a store that stands still or is slow, replicas that cut streams, hang, shed and break off, configurations. While it runs each stream that looks whole must be; at the end no booking ran twice, none that was refused ran, all models are served again and no replica was ordered to load more than fits.

Connections delayed or cut by the proxy are not in this soak yet.

--- a/Makefile
+++ b/Makefile
@@ -138,9 +138,11 @@
 # Random faults under load; the same SEED replays the same faults.
 MINUTES ?= 2
 SEED ?= 1
-soak: all $(BUILD)/test/process/test_soak
+soak: all $(BUILD)/test/process/test_soak $(BUILD)/test/process/test_soak_platform
 	@SOAK_SECONDS=$$(($(MINUTES) * 60)) SOAK_SEED=$(SEED) \
 	    TM_BUILD=$(BUILD) $(BUILD)/test/process/test_soak
+	@SOAK_SECONDS=$$(($(MINUTES) * 60)) SOAK_SEED=$(SEED) \
+	    TM_BUILD=$(BUILD) $(BUILD)/test/process/test_soak_platform
 
 format:
 	clang-format -i $(FORMAT_SRC)
--- a/src/sidecar/peers.c
+++ b/src/sidecar/peers.c
@@ -375,6 +375,15 @@
 	return a - b >= by || b - a >= by;
 }
 
+static bool
+load_same(const struct tm_replica_load *a, const struct tm_replica_load *b)
+{
+	return a->queued == b->queued && a->active == b->active &&
+	       a->kv_used == b->kv_used &&
+	       a->reading_permille == b->reading_permille &&
+	       a->gate_tokens == b->gate_tokens;
+}
+
 /* Whether gateways would choose otherwise. */
 static bool
 load_changed(const struct tm_replica_load *old,
@@ -410,7 +419,7 @@
 	if (!load_changed(&ps->load, &load, s->kv_total) &&
 	    now - ps->load_us < LOAD_REFRESH_US)
 		return;
-	if (memcmp(&load, &ps->load, sizeof(load)) == 0)
+	if (load_same(&ps->load, &load))
 		return;
 	ps->load = load;
 	ps->load_us = now;
--- /dev/null
+++ b/test/process/harness_fleet.c
@@ -0,0 +1,292 @@
+#include "harness_fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+#include <glib.h>
+
+#include "common/addr.h"
+
+struct fleet fleet;
+
+/* ---- the operator and the replicas write to the store ---- */
+
+void
+fleet_write_key(const char *topic, const char *key, const char *value)
+{
+	char *path = g_strdup_printf("/keys/%s/%s", topic, key);
+	struct answer a;
+
+	http_call(&a, value == NULL ? "DELETE" : "PUT", fleet.store, path, NULL,
+	    value);
+	g_assert_cmpint(a.code, ==, 200);
+	answer_clear(&a);
+	g_free(path);
+}
+
+static const char routes[] =
+    "{\"name\":\"stream\",\"host\":\"h.example\",\"path_prefix\":\"/stream/\","
+    "\"kind\":\"streaming\",\"timeout_ms\":10000,\"latency_goal_ms\":2000,"
+    "\"priority\":0,\"service\":\"llm\",\"max_attempts\":2,"
+    "\"resumable\":true,\"gap_aim_ms\":600},"
+    "{\"name\":\"book\",\"host\":\"h.example\",\"path_prefix\":\"/book/\","
+    "\"kind\":\"unsafe\",\"timeout_ms\":1500,\"latency_goal_ms\":100,"
+    "\"priority\":1,\"service\":\"app\",\"max_attempts\":2},"
+    "{\"name\":\"look\",\"host\":\"h.example\",\"path_prefix\":\"/look/\","
+    "\"kind\":\"safe\",\"timeout_ms\":5000,\"latency_goal_ms\":200,"
+    "\"priority\":1,\"service\":\"app\",\"max_attempts\":2}";
+
+void
+fleet_configure(const char *more_routes)
+{
+	char *doc = g_strdup_printf(
+	    "{\"version\":%d,\"routes\":[%s%s],\"services\":["
+	    "{\"name\":\"llm\",\"engine\":{\"slots\":8,\"kv_capacity\":100000,"
+	    "\"weights_mb\":200,\"adapter_slots\":4,\"loads_per_s\":2,"
+	    "\"models\":[{\"name\":\"m1\",\"weights_mb\":100,\"load_s\":1,"
+	    "\"disk_s\":0.1,\"warm_s\":0.1},{\"name\":\"m2\","
+	    "\"weights_mb\":100,\"load_s\":1,\"disk_s\":0.1,\"warm_s\":0.1},"
+	    "{\"name\":\"m3\",\"weights_mb\":100,\"load_s\":1,\"disk_s\":0.1,"
+	    "\"warm_s\":0.1}]}},{\"name\":\"app\"}],"
+	    "\"limits\":{\"max_body_bytes\":100000}}",
+	    ++fleet.version, routes, more_routes);
+
+	fleet_write_key("keyed.op", "config", doc);
+	g_free(doc);
+}
+
+void
+fleet_list_replica(const struct fleet_node *n, const char *service,
+    const char *state, int64_t born)
+{
+	char *doc = g_strdup_printf(
+	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"a\","
+	    "\"slots\":8,\"state\":\"%s\",\"born\":%lld,\"seq\":0,"
+	    "\"models\":[]}",
+	    service, n->address, state, (long long)born);
+
+	fleet_write_key("keyed.servers", n->id, doc);
+	g_free(doc);
+}
+
+/* ---- processes ---- */
+
+static void
+start_replica(struct fleet_node *n, const char *name, const char *const *args)
+{
+	proc_init(
+	    &n->replica, fleet.dir, name, "tamarackmast-standin", "replica");
+	add_arg(&n->replica, "--listen");
+	add_arg(&n->replica, n->address);
+	add_arg(&n->replica, "--id");
+	add_arg(&n->replica, n->id);
+	add_arg(&n->replica, "--born");
+	add_arg(&n->replica, "1000");
+	add_arg(&n->replica, "--events");
+	add_arg(&n->replica, G_STRINGIFY(FLEET_EVENTS));
+	for (; *args != NULL; args++)
+		add_arg(&n->replica, *args);
+	proc_start(&n->replica);
+	await_true(is_listening, n->address, name);
+}
+
+static void
+start_daemon(
+    struct proc *p, const char *name, const char *command, const char *settings)
+{
+	char *path = g_strdup_printf("%s/%s.ini", fleet.dir, name);
+
+	g_assert_true(g_file_set_contents(path, settings, -1, NULL));
+	proc_init(p, fleet.dir, name, "tamarackmast", command);
+	add_arg(p, "--config");
+	add_arg(p, path);
+	proc_start(p);
+	g_free(path);
+}
+
+void
+fleet_start_sidecar(struct fleet_node *n, const char *name)
+{
+	struct addr addr;
+	char *settings;
+
+	g_assert_cmpint(addr_parse(&addr, n->address), ==, 0);
+	settings = g_strdup_printf(
+	    "[daemon]\nvm = %s\nzone = a\n[rpc]\nlisten = %s:%d\n[store]\n"
+	    "address = %s\n[replica]\naddress = %s\nservice = llm\n",
+	    name, addr.host, fleet.sidecar_port, fleet.store, n->address);
+	start_daemon(&n->sidecar, name, "sidecar", settings);
+	g_free(settings);
+}
+
+void
+fleet_start_gateway(int i)
+{
+	char *name = g_strdup_printf("gateway-%d", i);
+	char *settings = g_strdup_printf(
+	    "[daemon]\nvm = %s\nzone = a\n[http]\nlisten = %s\nready = %s\n"
+	    "[peers]\nlisten = %s\nseeds = %s,%s\n"
+	    "[store]\naddress = %s\n[sidecars]\nport = %d\n",
+	    name, fleet.front[i], fleet.ready[i], fleet.peer[i], fleet.peer[0],
+	    fleet.peer[1], fleet.store, fleet.sidecar_port);
+
+	start_daemon(&fleet.gateways[i], name, "gateway", settings);
+	g_free(settings);
+	g_free(name);
+}
+
+bool
+fleet_gateway_ready(void *ready)
+{
+	struct answer a;
+	bool ok;
+
+	http_call(&a, "GET", ready, "/-/ready", NULL, NULL);
+	ok = a.code == 200;
+	answer_clear(&a);
+	return ok;
+}
+
+/* Each engine has an address of its own, so that all sidecars share a port. */
+static void
+place(struct fleet_node *n, const char *id, int host)
+{
+	char any[HARNESS_TEXT];
+
+	new_address(any);
+	strlcpy(n->id, id, sizeof(n->id));
+	snprintf(n->address, sizeof(n->address), "127.0.0.%d:%s", host,
+	    strchr(any, ':') + 1);
+}
+
+void
+fleet_start(void)
+{
+	static const char *const first[] = { "--model", "m1", "--disk", "m1",
+		NULL };
+	static const char *const second[] = { "--model", "m1", "--disk", "m2",
+		NULL };
+	static const char *const none[] = { NULL };
+	char any[HARNESS_TEXT];
+
+	memset(&fleet, 0, sizeof(fleet));
+	snprintf(fleet.dir, sizeof(fleet.dir), "%s/fleet-XXXXXX", build_dir());
+	g_assert_nonnull(mkdtemp(fleet.dir));
+	new_address(fleet.store);
+	new_address(any);
+	fleet.sidecar_port = atoi(strchr(any, ':') + 1);
+	proc_init(&fleet.store_proc, fleet.dir, "store", "tamarackmast-standin",
+	    "store");
+	add_arg(&fleet.store_proc, "--listen");
+	add_arg(&fleet.store_proc, fleet.store);
+	proc_start(&fleet.store_proc);
+	await_true(is_listening, fleet.store, "store");
+	fleet_configure("");
+	place(&fleet.engines[0], "i-e0", 2);
+	place(&fleet.engines[1], "i-e1", 3);
+	place(&fleet.services[0], "i-s0", 1);
+	place(&fleet.services[1], "i-s1", 1);
+	start_replica(&fleet.engines[0], "engine-0", first);
+	start_replica(&fleet.engines[1], "engine-1", second);
+	start_replica(&fleet.services[0], "service-0", none);
+	start_replica(&fleet.services[1], "service-1", none);
+	for (int i = 0; i < FLEET_ENGINES; i++) {
+		char *name = g_strdup_printf("sidecar-%d", i);
+
+		fleet_start_sidecar(&fleet.engines[i], name);
+		fleet_list_replica(&fleet.engines[i], "llm", "ready", 1000);
+		g_free(name);
+	}
+	for (int i = 0; i < FLEET_SERVICES; i++)
+		fleet_list_replica(&fleet.services[i], "app", "ready", 1000);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		new_address(fleet.front[i]);
+		new_address(fleet.ready[i]);
+		new_address(fleet.peer[i]);
+	}
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		fleet_start_gateway(i);
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		await_true(
+		    fleet_gateway_ready, fleet.ready[i], "gateway ready");
+}
+
+static void
+end_node(struct fleet_node *n)
+{
+	proc_kill(&n->replica);
+	proc_kill(&n->sidecar);
+	proc_clear(&n->replica);
+	proc_clear(&n->sidecar);
+}
+
+void
+fleet_stop(void)
+{
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		proc_kill(&fleet.gateways[i]);
+		proc_clear(&fleet.gateways[i]);
+	}
+	for (int i = 0; i < FLEET_ENGINES; i++)
+		end_node(&fleet.engines[i]);
+	for (int i = 0; i < FLEET_SERVICES; i++)
+		end_node(&fleet.services[i]);
+	proc_kill(&fleet.store_proc);
+	proc_clear(&fleet.store_proc);
+	if (getenv("TM_KEEP_LOGS") == NULL)
+		remove_dir(fleet.dir);
+}
+
+/* ---- callers ---- */
+
+int
+fleet_request(
+    struct answer *a, int gateway, const char *path, const char *model)
+{
+	int number = g_atomic_int_add(&fleet.requests, 1) + 1;
+	char *id = g_strdup_printf("Tamarackmast-Request-Id: r%d", number);
+	char *named = g_strdup_printf("Tamarackmast-Model: %s", model);
+	const char *headers[] = { "Host: h.example",
+		"Tamarackmast-Deadline-Ms: 10000", id,
+		model == NULL ? NULL : named, NULL };
+
+	http_call(a, "GET", fleet.front[gateway], path, headers, NULL);
+	g_free(id);
+	g_free(named);
+	return number;
+}
+
+/* All events of one run, in order, each once. */
+bool
+fleet_whole_stream(const struct answer *a, int request)
+{
+	GString *expected = g_string_new(NULL);
+	bool whole;
+
+	for (int i = 1; i <= FLEET_EVENTS; i++)
+		g_string_append_printf(
+		    expected, "id: %d\ndata: r%d-%d\n\n", i, request, i);
+	whole = a->code == 200 && !a->cut && a->body != NULL &&
+		strcmp(a->body, expected->str) == 0;
+	g_string_free(expected, TRUE);
+	return whole;
+}
+
+int64_t
+fleet_journal(const struct fleet_node *nodes, int count, const char *what)
+{
+	int64_t sum = 0;
+
+	for (int i = 0; i < count; i++)
+		sum += journal_int(nodes[i].address, what);
+	return sum;
+}
+
+void
+fleet_fault_all(const struct fleet_node *nodes, int count, const char *json)
+{
+	for (int i = 0; i < count; i++)
+		fault(nodes[i].address, json);
+}
--- /dev/null
+++ b/test/process/test_soak_platform.c
@@ -0,0 +1,325 @@
+/*
+ * Gateways and sidecars under load and random faults from outside, judged while
+ * it runs by what callers get and what replicas ran.
+ *
+ * SOAK_SEED fixes the schedule of faults, SOAK_SECONDS the length.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "harness_fleet.h"
+
+#define DEFAULT_SEED 1
+#define DEFAULT_SECONDS 8
+#define CALLERS 6
+#define GAP_MIN_MS 150
+#define GAP_MAX_MS 900
+#define HOLD_MIN_MS 100
+#define HOLD_MAX_MS 1500
+#define QUIET_MS 3000 /* without faults before the last check */
+/* Beyond the time-out of the route, and a pause that a fault may add. */
+#define LATE_S (10 + HOLD_MAX_MS / 1000.0 + 1)
+#define BOOKINGS_MAX 20000
+
+enum fault_kind {
+	KILL_GATEWAY,
+	PAUSE_GATEWAY,
+	STOP_GATEWAY,
+	KILL_SIDECAR,
+	PAUSE_SIDECAR,
+	PAUSE_STORE,
+	SLOW_STORE,
+	CUT_STREAMS,
+	HANG,
+	SHED,
+	BREAK_OFF,
+	CONFIGURE,
+	FAULT_KINDS,
+};
+
+static const char *const kind_names[FAULT_KINDS] = { "kill gateway",
+	"pause gateway", "stop gateway", "kill sidecar", "pause sidecar",
+	"pause store", "slow store", "cut streams", "hang", "shed", "break off",
+	"configure" };
+
+struct booking {
+	int request;
+	bool refused; /* the caller was told that it has not run */
+};
+
+struct soak {
+	guint32 seed;
+	gint stop;
+	GMutex lock;
+	struct booking bookings[BOOKINGS_MAX];
+	unsigned booking_count;
+	unsigned answered, refused, failed;
+};
+
+static struct soak soak;
+
+static int64_t
+env_int(const char *name, int64_t def)
+{
+	const char *text = getenv(name);
+
+	return text != NULL && text[0] != '\0' ? strtoll(text, NULL, 10) : def;
+}
+
+/* ---- callers ---- */
+
+static bool
+says_not_run(const struct answer *a)
+{
+	return a->code == 503 || a->code == 429;
+}
+
+static void
+count(const struct answer *a)
+{
+	g_mutex_lock(&soak.lock);
+	soak.answered += a->code == 200 && !a->cut;
+	soak.refused += says_not_run(a);
+	soak.failed += a->code != 200 && !says_not_run(a);
+	g_mutex_unlock(&soak.lock);
+}
+
+static void
+book(GRand *rand)
+{
+	struct answer a;
+	int request = fleet_request(
+	    &a, g_rand_int_range(rand, 0, FLEET_GATEWAYS), "/book/1", NULL);
+
+	g_mutex_lock(&soak.lock);
+	g_assert_cmpuint(soak.booking_count, <, BOOKINGS_MAX);
+	soak.bookings[soak.booking_count].request = request;
+	soak.bookings[soak.booking_count++].refused = says_not_run(&a);
+	g_mutex_unlock(&soak.lock);
+	count(&a);
+	answer_clear(&a);
+}
+
+static void
+stream(GRand *rand)
+{
+	static const char *const models[] = { "m1", "m1", "m1", "m2", "m3" };
+	struct answer a;
+	int request = fleet_request(&a,
+	    g_rand_int_range(rand, 0, FLEET_GATEWAYS), "/stream/1",
+	    models[g_rand_int_range(rand, 0, G_N_ELEMENTS(models))]);
+
+	/* An answer that looks whole is. */
+	if (a.code == 200 && !a.cut && !fleet_whole_stream(&a, request))
+		g_error("seed %u: stream r%d is not whole: %s", soak.seed,
+		    request, a.body);
+	g_assert_cmpfloat(a.seconds, <, LATE_S);
+	count(&a);
+	answer_clear(&a);
+}
+
+static void *
+call_on(void *arg)
+{
+	GRand *rand =
+	    g_rand_new_with_seed(soak.seed * 100 + GPOINTER_TO_UINT(arg));
+
+	while (!g_atomic_int_get(&soak.stop)) {
+		if (g_rand_int_range(rand, 0, 3) == 0)
+			book(rand);
+		else
+			stream(rand);
+		sleep_ms(g_rand_int_range(rand, 1, 20));
+	}
+	g_rand_free(rand);
+	return NULL;
+}
+
+/* ---- faults ---- */
+
+static void
+restart_gateway(int i, int sig)
+{
+	proc_signal(&fleet.gateways[i], sig);
+	if (sig == SIGTERM)
+		g_assert_cmpint(proc_wait(&fleet.gateways[i]), ==, 0);
+	else
+		proc_kill(&fleet.gateways[i]);
+	proc_clear(&fleet.gateways[i]);
+	fleet_start_gateway(i);
+}
+
+static void
+pause_proc(struct proc *p, int ms)
+{
+	proc_signal(p, SIGSTOP);
+	sleep_ms(ms);
+	proc_signal(p, SIGCONT);
+}
+
+static void
+restart_sidecar(int i)
+{
+	char *name = g_strdup_printf("sidecar-%d", i);
+
+	proc_kill(&fleet.engines[i].sidecar);
+	proc_clear(&fleet.engines[i].sidecar);
+	fleet_start_sidecar(&fleet.engines[i], name);
+	g_free(name);
+}
+
+static void
+fault_for(const char *address, const char *on, const char *off, int ms)
+{
+	fault(address, on);
+	sleep_ms(ms);
+	fault(address, off);
+}
+
+static void
+strike(enum fault_kind kind, int victim, int ms)
+{
+	struct fleet_node *engine = &fleet.engines[victim % FLEET_ENGINES];
+	struct fleet_node *service = &fleet.services[victim % FLEET_SERVICES];
+	int gateway = victim % FLEET_GATEWAYS;
+
+	g_test_message("%s %d for %d ms", kind_names[kind], victim, ms);
+	switch (kind) {
+	case KILL_GATEWAY:
+		restart_gateway(gateway, SIGKILL);
+		break;
+	case PAUSE_GATEWAY:
+		pause_proc(&fleet.gateways[gateway], ms);
+		break;
+	case STOP_GATEWAY:
+		restart_gateway(gateway, SIGTERM);
+		break;
+	case KILL_SIDECAR:
+		restart_sidecar(victim % FLEET_ENGINES);
+		break;
+	case PAUSE_SIDECAR:
+		pause_proc(&engine->sidecar, ms);
+		break;
+	case PAUSE_STORE:
+		pause_proc(&fleet.store_proc, ms);
+		break;
+	case SLOW_STORE:
+		fault_for(fleet.store, "{\"delay_ms\": 200}",
+		    "{\"delay_ms\": 0}", ms);
+		break;
+	case CUT_STREAMS:
+		fault_for(engine->address, "{\"cut_after\": 3}",
+		    "{\"cut_after\": 0}", ms);
+		break;
+	case HANG:
+		fault_for(service->address, "{\"hang\": true}",
+		    "{\"hang\": false}", ms);
+		break;
+	case SHED:
+		fault_for(
+		    service->address, "{\"shed\": 20}", "{\"shed\": 0}", ms);
+		break;
+	case BREAK_OFF:
+		fault_for(service->address, "{\"break_off\": true}",
+		    "{\"break_off\": false}", ms);
+		break;
+	case CONFIGURE:
+		fleet_configure("");
+		break;
+	case FAULT_KINDS:
+		break;
+	}
+}
+
+/* ---- the verdict ---- */
+
+/* What may run once ran once at most; what was refused did not run. */
+static void
+judge_bookings(void)
+{
+	for (unsigned i = 0; i < soak.booking_count; i++) {
+		const struct booking *b = &soak.bookings[i];
+		char *path = g_strdup_printf("/runs/r%d", b->request);
+		int64_t ran = 0;
+
+		for (int s = 0; s < FLEET_SERVICES; s++) {
+			struct answer a;
+
+			http_call(&a, "GET", fleet.services[s].address, path,
+			    NULL, NULL);
+			g_assert_cmpint(a.code, ==, 200);
+			ran += answer_int(&a, "runs");
+			answer_clear(&a);
+		}
+		g_free(path);
+		if (ran > 1 || (b->refused && ran > 0))
+			g_error("seed %u: booking r%d ran %d times, refused %d",
+			    soak.seed, b->request, (int)ran, b->refused);
+	}
+}
+
+static void
+judge_recovery(void)
+{
+	static const char *const models[] = { "m1", "m2", "m3" };
+
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		await_true(fleet_gateway_ready, fleet.ready[i], "ready again");
+	sleep_ms(QUIET_MS);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		for (size_t m = 0; m < G_N_ELEMENTS(models); m++) {
+			struct answer a;
+			int r = fleet_request(&a, i, "/stream/1", models[m]);
+
+			g_assert_true(fleet_whole_stream(&a, r));
+			answer_clear(&a);
+		}
+	}
+	for (int i = 0; i < FLEET_ENGINES; i++) /* none overloaded its memory */
+		g_assert_true(proc_running(&fleet.engines[i].replica));
+}
+
+static void
+test_platform(void)
+{
+	int64_t end =
+	    now_ms() + env_int("SOAK_SECONDS", DEFAULT_SECONDS) * 1000;
+	GThread *callers[CALLERS];
+	GRand *rand;
+
+	soak.seed = (guint32)env_int("SOAK_SEED", DEFAULT_SEED);
+	rand = g_rand_new_with_seed(soak.seed);
+	fleet_start();
+	for (guint i = 0; i < CALLERS; i++)
+		callers[i] =
+		    g_thread_new("caller", call_on, GUINT_TO_POINTER(i));
+	while (now_ms() < end) {
+		sleep_ms(g_rand_int_range(rand, GAP_MIN_MS, GAP_MAX_MS));
+		strike((enum fault_kind)g_rand_int_range(rand, 0, FAULT_KINDS),
+		    g_rand_int_range(rand, 0, 100),
+		    g_rand_int_range(rand, HOLD_MIN_MS, HOLD_MAX_MS));
+	}
+	g_atomic_int_set(&soak.stop, 1);
+	for (guint i = 0; i < CALLERS; i++)
+		g_thread_join(callers[i]);
+	judge_recovery();
+	judge_bookings();
+	g_test_message("seed %u: %u answered, %u refused, %u failed, %u booked",
+	    soak.seed, soak.answered, soak.refused, soak.failed,
+	    soak.booking_count);
+	g_assert_cmpuint(soak.answered, >, 0);
+	g_rand_free(rand);
+	fleet_stop();
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/soak/platform", test_platform);
+	return g_test_run();
+}
