gateway, sidecar: serve without metrics if their port is taken; urgency within ten

A rank above nine would have been passed on as an urgency that engines do not know.

Test: the fleet's sidecars get their RPC port for metrics as well; before, none of them started.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -13,6 +13,7 @@
 #include "state/deployment.h"
 
 #define HEADERS_MAX 96
+#define URGENCY_MAX 9
 /* Shorter prompts do not hold streams up. */
 #define READ_ASK_TOKENS 1500
 
@@ -83,6 +84,15 @@
 	out[count].name = NULL;
 }
 
+/* Engines order by rank; they know ten, the last is the least urgent. */
+static int
+urgency(const struct exchange *x)
+{
+	if (x->terms.model[0] == '\0')
+		return -1;
+	return x->route->rank < URGENCY_MAX ? (int)x->route->rank : URGENCY_MAX;
+}
+
 static void
 transmit(struct exchange *x)
 {
@@ -94,7 +104,7 @@
 	struct forward_terms terms = {
 		.deadline_us = exchange_left_us(x),
 		.replica = b->entry.id,
-		.urgency = x->terms.model[0] == '\0' ? -1 : (int)x->route->rank,
+		.urgency = urgency(x),
 		.resumes = x->has_last,
 		.last_event = x->last_event,
 	};
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -396,10 +396,11 @@
 	g->front = serve(g, g->settings.listen, front_routes);
 	if (g->ready == NULL || g->front == NULL)
 		return -1;
-	if (g->settings.metrics_listen[0] == '\0')
-		return 0;
-	g->metrics_http = serve(g, g->settings.metrics_listen, metrics_routes);
-	return g->metrics_http == NULL ? -1 : 0;
+	/* Without metrics it still serves: another daemon may have the port. */
+	if (g->settings.metrics_listen[0] != '\0')
+		g->metrics_http =
+		    serve(g, g->settings.metrics_listen, metrics_routes);
+	return 0;
 }
 
 static int
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -107,7 +107,8 @@
 	{ 0 },
 };
 
-static int
+/* Without metrics it still works: another daemon may have the port. */
+static void
 serve_metrics(struct sidecar *sc)
 {
 	struct http_server_options opts = {
@@ -119,12 +120,12 @@
 	};
 
 	if (sc->settings.metrics_listen[0] == '\0')
-		return 0;
+		return;
 	sc->metrics_http = http_server_create(&opts);
-	if (sc->metrics_http == NULL)
-		return -1;
-	return http_server_listen(
-	    sc->metrics_http, sc->settings.metrics_listen);
+	if (sc->metrics_http == NULL || http_server_listen(sc->metrics_http,
+					    sc->settings.metrics_listen) == -1)
+		log_warn(sc->process.logger, "cannot serve metrics",
+		    LF_S("address", sc->settings.metrics_listen));
 }
 
 /* Nothing here outlasts the process: the replica keeps what it holds. */
@@ -195,9 +196,9 @@
 		return -1;
 	sc->peers = peers_create(sc);
 	sc->steering = steering_create(sc);
-	if (sc->peers == NULL || sc->steering == NULL ||
-	    serve_metrics(sc) == -1)
+	if (sc->peers == NULL || sc->steering == NULL)
 		return -1;
+	serve_metrics(sc);
 	feed.store = sc->store;
 	feed.ctx = sc->share;
 	sc->deployment_feed = keyed_feed_create(&feed);
--- a/test/process/harness_fleet.c
+++ b/test/process/harness_fleet.c
@@ -106,6 +106,7 @@
 	g_free(path);
 }
 
+/* Its metrics have the port of its RPC, which it must survive. */
 void
 fleet_start_sidecar(struct fleet_node *n, const char *name)
 {
@@ -114,9 +115,11 @@
 
 	g_assert_cmpint(addr_parse(&addr, n->address), ==, 0);
 	settings = g_strdup_printf(
-	    "[daemon]\nvm = %s\nzone = a\n[rpc]\nlisten = %s:%d\n[store]\n"
+	    "[daemon]\nvm = %s\nzone = a\n[rpc]\nlisten = %s:%d\n"
+	    "[http]\nmetrics = %s:%d\n[store]\n"
 	    "address = %s\n[replica]\naddress = %s\nservice = llm\n",
-	    name, addr.host, fleet.sidecar_port, fleet.store, n->address);
+	    name, addr.host, fleet.sidecar_port, addr.host, fleet.sidecar_port,
+	    fleet.store, n->address);
 	start_daemon(&n->sidecar, name, "sidecar", settings);
 	g_free(settings);
 }
