--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -170,6 +170,11 @@
 	g_assert_cmpuint(t.parts[1].tokens, ==, 250);
 	g_assert_true(t.resumes);
 	g_assert_cmpuint(t.last_event, ==, 12);
+	/* A deadline beyond all bounds, which fuzzing found to overflow. */
+	evhttp_remove_header(&headers, "Tamarackmast-Deadline-Ms");
+	add(&headers, "Tamarackmast-Deadline-Ms", "99999999999999999999");
+	g_assert_cmpint(platform_read_request(&headers, &t, &err), ==, 0);
+	g_assert_cmpint(t.deadline_us, ==, 86400LL * 1000000);
 	evhttp_clear_headers(&headers);
 }
 
