sidecar: orders name the incarnation that they are meant for

A replica left a load unanswered, crashed and started again empty; the order was carried out 7 s later by the new incarnation, whose count of orders happened to match the expected one, beside the two models that had been loaded since. Ruled out: waiting for settled orders (an unanswered one may come 12 s later). The sidecar asks a new incarnation for its id before the first order, and asks again when an order is refused.

--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -82,6 +82,8 @@
 	const char *holder;
 	uint64_t fence;
 	uint64_t expected_seq;
+	/* No other incarnation may carry it out, however late it arrives. */
+	const char *replica;
 };
 
 enum order_result {
@@ -201,6 +203,10 @@
 	/* done() gets NULL if there was no usable answer. */
 	void (*report)(void *replica, int64_t timeout_us,
 	    void (*done)(void *ctx, const struct replica_state *), void *ctx);
+	/* Asks which incarnation is there; done() gets NULL if none tells. */
+	void (*identify)(void *replica, const char *health_path,
+	    int64_t timeout_us, void (*done)(void *ctx, const char *id),
+	    void *ctx);
 	void (*order)(void *replica, const struct replica_order *,
 	    int64_t timeout_us, void (*done)(void *ctx, enum order_result),
 	    void *ctx);
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -51,6 +51,8 @@
 	struct replica_state state;
 	bool known; /* state is of a replica that answers */
 	bool ordering; /* an order's answer is awaited */
+	char id[FLEET_ID_MAX]; /* of the incarnation; "": not known yet */
+	bool identifying;
 	struct use *uses;
 	struct want wants[WANTS_MAX];
 	size_t want_count;
@@ -345,6 +347,8 @@
 		s->loading_until_us = now + load_time_us(s, s->order_model);
 		strlcpy(s->loading, s->order_model, sizeof(s->loading));
 	}
+	if (result == ORDER_REFUSED)
+		s->id[0] = '\0'; /* it may be another incarnation's */
 	if (result == ORDER_STARTED || result == ORDER_HOLDS_ALREADY) {
 		s->pause_us = PAUSE_FIRST_US;
 	} else {
@@ -366,6 +370,7 @@
 		.holder = sc->settings.vm,
 		.fence = FENCE,
 		.expected_seq = s->state.order_seq,
+		.replica = s->id,
 	};
 
 	s->ordering = true;
@@ -385,6 +390,34 @@
 	    sc->replica, &order, ORDER_TIMEOUT_US, on_ordered, s);
 }
 
+static void
+on_id(void *ctx, const char *id)
+{
+	struct steering *s = ctx;
+
+	s->identifying = false;
+	if (id == NULL || strlcpy(s->id, id, sizeof(s->id)) >= sizeof(s->id))
+		s->id[0] = '\0'; /* asked again when an order is due */
+	log_info(s->sidecar->process.logger, "replica identified",
+	    LF_S("replica", s->id));
+	poll_soon(s);
+}
+
+/* A late order must not reach the next incarnation, whose count may match. */
+static void
+identify(struct steering *s)
+{
+	struct sidecar *sc = s->sidecar;
+	const struct service_spec *service =
+	    deployment_service(sc->deployment, sc->settings.service);
+
+	if (s->identifying || service == NULL)
+		return;
+	s->identifying = true;
+	sc->adapter->replica->identify(
+	    sc->replica, service->health_path, REPORT_TIMEOUT_US, on_id, s);
+}
+
 static void
 decide(struct steering *s)
 {
@@ -402,6 +435,10 @@
 	step = swap_next(&v.in);
 	if (step.op == SWAP_NONE)
 		return;
+	if (s->id[0] == '\0') {
+		identify(s);
+		return;
+	}
 	if (step.op == SWAP_LOAD && step.adapter == NULL &&
 	    from_store(s, step.model) && !load_permit_take(s->permit))
 		return;
@@ -440,6 +477,7 @@
 		if (s->known)
 			log_warn(p->logger, "replica does not answer");
 		s->known = false;
+		s->id[0] = '\0';
 	} else {
 		if (!s->known || s->state.born_ms != state->born_ms)
 			log_info(p->logger, "replica answers",
@@ -448,6 +486,8 @@
 			    LF_I("models", state->model_count),
 			    LF_I("in_memory", state->in_memory.count),
 			    LF_I("on_disk", state->on_disk.count));
+		if (s->state.born_ms != state->born_ms)
+			s->id[0] = '\0';
 		note_reading(s, state);
 		s->known = true;
 		s->state = *state;
