gateway: the configuration's header and idle time-outs are enforced

Cause: limits.header_timeout_ms and idle_timeout_ms were decoded and not used; a silent caller held its connection for 60 s.

evhttp tells of whole requests only, so that a request has both time-outs to arrive, since the connection was accepted or its last answer was written; this never cuts a caller within its limits. A change holds for open connections too. The table of connections now knows which requests are unanswered, so that the gateway's own search over all exchanges at a stop went (exchanges_busy).

Test: /gateway/idle_callers (idle from the start, after an answer, half a request, and a load longer than both time-outs that is not cut off).

--- a/src/agent/agent_http.c
+++ b/src/agent/agent_http.c
@@ -60,7 +60,7 @@
 		.max_body = 65536,
 		.max_headers = 16384,
 		.idle_timeout_us = 30 * USEC_PER_SEC,
-		.first_request_us = 30 * USEC_PER_SEC,
+		.waits.first_us = 30 * USEC_PER_SEC,
 		.max_connections = 1000,
 		.metrics = a->node->metrics,
 		.tls = a->node->tls,
--- a/src/entry/api_completions.c
+++ b/src/entry/api_completions.c
@@ -341,7 +341,7 @@
 	c->between_tokens = metrics_histogram(
 	    e->node->metrics, "between_tokens_seconds", labels);
 	c->caller = caller_create(
-	    e->node->base, req, (size_t)e->settings.caller_backlog, on_gone, c);
+	    e->http, req, (size_t)e->settings.caller_backlog, on_gone, c);
 	caller_count(c->caller, &e->open_callers);
 	return c;
 }
--- a/src/entry/api_operations.c
+++ b/src/entry/api_operations.c
@@ -116,8 +116,8 @@
 		abort();
 	log_info(e->node->logger, "ordering a VM to leave", LF_S("vm", vm));
 	strlcpy(d->vm, vm, sizeof(d->vm));
-	d->caller = caller_create(e->node->base, req,
-	    (size_t)e->settings.caller_backlog, on_drain_gone, d);
+	d->caller = caller_create(
+	    e->http, req, (size_t)e->settings.caller_backlog, on_drain_gone, d);
 	rpc_conn_call(peer->conn, TM_DRAIN, (xdrproc_t)xdr_tm_drain_args, &args,
 	    (xdrproc_t)xdr_tm_drain_reply, sizeof(struct tm_drain_reply),
 	    ANSWER_WAIT_US, on_drained, d);
@@ -238,8 +238,8 @@
 		abort();
 	q->events = json_array();
 	q->waiting = 1;
-	q->caller = caller_create(e->node->base, req,
-	    (size_t)e->settings.caller_backlog, on_trace_gone, q);
+	q->caller = caller_create(
+	    e->http, req, (size_t)e->settings.caller_backlog, on_trace_gone, q);
 	while ((event = trace_next(e->node->trace, id, event)) != NULL)
 		add_event(q->events, e->settings.node.vm, event->wall_us,
 		    event->text);
--- a/src/entry/api_services.c
+++ b/src/entry/api_services.c
@@ -156,7 +156,7 @@
 	x->entry = e;
 	x->body = evbuffer_new();
 	x->caller = caller_create(
-	    e->node->base, req, (size_t)e->settings.caller_backlog, on_gone, x);
+	    e->http, req, (size_t)e->settings.caller_backlog, on_gone, x);
 	caller_count(x->caller, &e->open_callers);
 	x->request = request_start(e->requests, &o);
 	strlcpy(x->id, request_id(x->request), sizeof(x->id));
--- a/src/entry/in_force.c
+++ b/src/entry/in_force.c
@@ -105,7 +105,7 @@
 	q->listed = q->answered = q->in_force = 1;
 	q->waiting = 1;
 	q->caller = caller_create(
-	    e->node->base, req, (size_t)e->settings.caller_backlog, on_gone, q);
+	    e->http, req, (size_t)e->settings.caller_backlog, on_gone, q);
 	while ((peer = membership_next(e->node->membership, peer)) != NULL) {
 		q->listed += strcmp(peer->vm.id, e->settings.node.vm) != 0;
 		if (peer->conn == NULL)
--- a/src/entry/resource_changes.c
+++ b/src/entry/resource_changes.c
@@ -96,7 +96,7 @@
 		abort();
 	x->entry = e;
 	x->caller = caller_create(
-	    e->node->base, req, (size_t)e->settings.caller_backlog, on_gone, x);
+	    e->http, req, (size_t)e->settings.caller_backlog, on_gone, x);
 	return x;
 }
 
--- a/src/entry/watch.c
+++ b/src/entry/watch.c
@@ -226,7 +226,7 @@
 	w->hub = hub;
 	w->kind = kind;
 	w->sent = since;
-	w->caller = caller_create(hub->entry->node->base, req,
+	w->caller = caller_create(hub->entry->http, req,
 	    (size_t)hub->entry->settings.caller_backlog, on_gone, w);
 	LIST_INSERT_HEAD(&hub->watchers, w, link);
 	(*hub->gauge)++;
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -345,22 +345,6 @@
 	}
 }
 
-bool
-exchanges_busy(const struct gateway *g, int fd)
-{
-	const struct exchange *x;
-
-	TAILQ_FOREACH(x, &g->exchanges, link) {
-		struct evhttp_request *req = caller_request(x->caller);
-
-		if (req != NULL &&
-		    bufferevent_getfd(evhttp_connection_get_bufferevent(
-			evhttp_request_get_connection(req))) == fd)
-			return true;
-	}
-	return false;
-}
-
 void
 exchanges_end(struct gateway *g)
 {
@@ -515,8 +499,7 @@
 	TAILQ_INSERT_TAIL(&g->exchanges, x, link);
 	x->timer = process_timer(&g->process, on_deadline, x);
 	x->silence = process_timer(&g->process, exchange_on_silence, x);
-	x->caller =
-	    caller_create(g->process.base, req, MAX_BACKLOG, on_gone, x);
+	x->caller = caller_create(g->front, req, MAX_BACKLOG, on_gone, x);
 	caller_count(x->caller, &g->open);
 	set_deadline(x);
 	retry_budget_note(g->budget, x->service);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,9 +19,6 @@
 /* Replicas changed: looks at the waiting requests again. */
 void exchanges_review(struct gateway *);
 
-/* Whether a request that came on this descriptor has no whole answer yet. */
-bool exchanges_busy(const struct gateway *, int fd);
-
 /* The process ends soon: answers what has no answer yet. */
 void exchanges_end(struct gateway *);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -99,12 +99,30 @@
 	OPTION_END,
 };
 
+/*
+ * evhttp tells of whole requests only, not of the end of a head, so that a
+ * request has both time-outs to arrive; no caller within them is cut off.
+ */
+static void
+bound_callers(struct gateway *g)
+{
+	const struct deployment *d = g->deployment;
+	struct http_conns_waits waits = { 0 };
+
+	if (d->header_timeout_us > 0 && d->idle_timeout_us > 0) {
+		waits.first_us = d->header_timeout_us + d->idle_timeout_us;
+		waits.next_us = waits.first_us;
+	}
+	http_server_set_waits(g->front, &waits);
+}
+
 static void
 on_deployment(void *ctx)
 {
 	struct gateway *g = ctx;
 
 	g->deployment = deployment_share_get(g->share);
+	bound_callers(g);
 	sidecar_links_refresh(g->links);
 }
 
@@ -246,19 +264,13 @@
 		    g->process.logger, g->settings.log_level);
 }
 
-static bool
-is_busy(void *ctx, evutil_socket_t fd)
-{
-	return exchanges_busy(ctx, fd);
-}
-
 static void
 check_stopped(struct gateway *g)
 {
 	int64_t since = clock_now(g->process.clock) - g->stop_us;
 
 	if (since >= STOP_CLOSE_US)
-		http_server_close_idle(g->front, is_busy, g);
+		http_server_close_idle(g->front);
 	if (since >= g->settings.drain_ms * USEC_PER_MSEC - STOP_ANSWER_US)
 		exchanges_end(g);
 	if (since < STOP_MIN_US)
--- a/src/protocol/caller.c
+++ b/src/protocol/caller.c
@@ -21,6 +21,7 @@
 #define KERNEL_UNSENT_MAX 65536 /* bytes */
 
 struct caller {
+	struct http_server *server;
 	struct evhttp_request *req; /* NULL once the connection is gone */
 	struct http_watch *watch;
 	size_t max_backlog;
@@ -68,9 +69,12 @@
 static void
 on_complete(struct evhttp_request *req, void *ctx)
 {
-	evhttp_connection_set_closecb(
-	    evhttp_request_get_connection(req), NULL, NULL);
-	caller_free(ctx);
+	struct evhttp_connection *evcon = evhttp_request_get_connection(req);
+	struct caller *c = ctx;
+
+	evhttp_connection_set_closecb(evcon, NULL, NULL);
+	http_server_answered(c->server, req);
+	caller_free(c);
 }
 
 /*
@@ -92,19 +96,20 @@
 }
 
 struct caller *
-caller_create(struct event_base *base, struct evhttp_request *req,
+caller_create(struct http_server *server, struct evhttp_request *req,
     size_t max_backlog, void (*gone)(void *), void *ctx)
 {
 	struct caller *c = calloc(1, sizeof(*c));
 
 	if (c == NULL)
 		abort();
+	c->server = server;
 	c->req = req;
 	c->max_backlog = max_backlog;
 	c->gone = gone;
 	c->ctx = ctx;
 	set_socket_options(req);
-	c->watch = http_watch_create(base, req, on_watch, c);
+	c->watch = http_watch_create(server, req, on_watch, c);
 	evhttp_connection_set_closecb(
 	    evhttp_request_get_connection(req), on_conn_closed, c);
 	return c;
--- a/src/protocol/caller.h
+++ b/src/protocol/caller.h
@@ -15,12 +15,12 @@
 
 struct caller;
 struct evbuffer;
-struct event_base;
+struct http_server;
 struct evhttp_request;
 struct json_t;
 struct problem;
 
-struct caller *caller_create(struct event_base *, struct evhttp_request *,
+struct caller *caller_create(struct http_server *, struct evhttp_request *,
     size_t max_backlog, void (*gone)(void *ctx), void *ctx);
 
 /*
--- a/src/transport/http_conns.c
+++ b/src/transport/http_conns.c
@@ -17,8 +17,9 @@
 struct conn {
 	int fd;
 	struct sockaddr_storage peer;
-	struct timeval accepted;
-	bool served;
+	struct timeval since; /* accepted, or the last answer was written */
+	bool served; /* a whole request came */
+	bool answering;
 	UT_hash_handle hh;
 };
 
@@ -58,17 +59,18 @@
 static bool
 is_slow(const struct http_conns *c, const struct conn *conn)
 {
+	int64_t wait_us =
+	    conn->served ? c->opts.waits.next_us : c->opts.waits.first_us;
 	struct timeval now, age;
 
-	if (conn->served || c->opts.first_request_us == 0)
+	if (conn->answering || wait_us == 0)
 		return false;
 	event_base_gettimeofday_cached(c->opts.base, &now);
-	evutil_timersub(&now, &conn->accepted, &age);
-	return age.tv_sec * 1000000LL + age.tv_usec > c->opts.first_request_us;
+	evutil_timersub(&now, &conn->since, &age);
+	return age.tv_sec * 1000000LL + age.tv_usec > wait_us;
 }
 
-/* Forgets what is gone, and cuts off what sends its first request too slowly.
- */
+/* Forgets what is gone, and cuts off what sends no request in time. */
 static void
 sweep(struct http_conns *c)
 {
@@ -144,7 +146,7 @@
 		abort();
 	conn->fd = fd;
 	(void)getpeername(fd, (struct sockaddr *)&conn->peer, &len);
-	event_base_gettimeofday_cached(c->opts.base, &conn->accepted);
+	event_base_gettimeofday_cached(c->opts.base, &conn->since);
 	HASH_ADD_INT(c->conns, fd, conn);
 	*c->open = (int64_t)HASH_COUNT(c->conns);
 }
@@ -176,23 +178,42 @@
 }
 
 void
-http_conns_served(struct http_conns *c, evutil_socket_t fd)
+http_conns_asked(struct http_conns *c, evutil_socket_t fd)
 {
 	struct conn *conn;
 
 	HASH_FIND_INT(c->conns, &fd, conn);
-	if (conn != NULL)
-		conn->served = true;
+	if (conn == NULL)
+		return;
+	conn->served = true;
+	conn->answering = true;
+}
+
+void
+http_conns_answered(struct http_conns *c, evutil_socket_t fd)
+{
+	struct conn *conn;
+
+	HASH_FIND_INT(c->conns, &fd, conn);
+	if (conn == NULL)
+		return;
+	conn->answering = false;
+	event_base_gettimeofday_cached(c->opts.base, &conn->since);
+}
+
+void
+http_conns_set_waits(struct http_conns *c, const struct http_conns_waits *waits)
+{
+	c->opts.waits = *waits;
 }
 
 void
-http_conns_close_idle(struct http_conns *c,
-    bool (*busy)(void *ctx, evutil_socket_t fd), void *ctx)
+http_conns_close_idle(struct http_conns *c)
 {
 	struct conn *conn, *next;
 
 	HASH_ITER(hh, c->conns, conn, next) {
-		if (is_open(conn) && !busy(ctx, conn->fd))
+		if (!conn->answering && is_open(conn))
 			(void)shutdown(conn->fd, SHUT_RD);
 	}
 }
--- a/src/transport/http_conns.h
+++ b/src/transport/http_conns.h
@@ -19,11 +19,17 @@
 struct http_conns;
 struct metrics;
 
+/* How long a connection may be without a whole request; 0: for ever. */
+struct http_conns_waits {
+	int64_t first_us; /* since it was accepted */
+	int64_t next_us; /* since its last answer was written */
+};
+
 struct http_conns_options {
 	struct event_base *base;
 	struct metrics *metrics;
 	unsigned max; /* 0: no bound */
-	int64_t first_request_us; /* longest time for it to arrive; 0: none */
+	struct http_conns_waits waits;
 	/* Sent to a connection over the bound; NULL: it is only closed. */
 	const char *refusal;
 };
@@ -39,14 +45,17 @@
 
 /* Takes in a bufferevent that gets its descriptor before the loop goes on. */
 void http_conns_add(struct http_conns *, struct bufferevent *);
-/* Notes that a whole request came; it may now stay idle. */
-void http_conns_served(struct http_conns *, evutil_socket_t fd);
+/* Notes that a whole request came: it is not idle until that is answered. */
+void http_conns_asked(struct http_conns *, evutil_socket_t fd);
+/* Notes that the answer was written. */
+void http_conns_answered(struct http_conns *, evutil_socket_t fd);
+/* Also for the connections that are open. */
+void http_conns_set_waits(struct http_conns *, const struct http_conns_waits *);
 
 /*
- * Has evhttp close the connections that are not busy: it reads their end.  An
- * answer that is still being written leaves whole.
+ * Has evhttp close the connections whose requests are all answered: it reads
+ * their end.
  */
-void http_conns_close_idle(struct http_conns *,
-    bool (*busy)(void *ctx, evutil_socket_t fd), void *ctx);
+void http_conns_close_idle(struct http_conns *);
 
 #endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -78,13 +78,24 @@
 	return size;
 }
 
+static evutil_socket_t
+descriptor(struct evhttp_request *req)
+{
+	return bufferevent_getfd(evhttp_connection_get_bufferevent(
+	    evhttp_request_get_connection(req)));
+}
+
 static void
-note_served(struct http_server *server, struct evhttp_request *req)
+on_complete(struct evhttp_request *req, void *server)
 {
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(
-	    evhttp_request_get_connection(req));
+	http_server_answered(server, req);
+}
 
-	http_conns_served(server->conns, bufferevent_getfd(bev));
+static void
+note_request(struct http_server *server, struct evhttp_request *req)
+{
+	http_conns_asked(server->conns, descriptor(req));
+	evhttp_request_set_on_complete_cb(req, on_complete, server);
 }
 
 /* The HTTP status of the limit that the request exceeds, or 0. */
@@ -115,7 +126,7 @@
 	const struct http_route *route;
 	int status = exceeded(server, req);
 
-	note_served(server, req);
+	note_request(server, req);
 	if (status != 0) {
 		server->opts.refuse(server->opts.ctx, req, status);
 		return;
@@ -153,7 +164,7 @@
 		.base = opts->base,
 		.metrics = opts->metrics,
 		.max = opts->max_connections,
-		.first_request_us = opts->first_request_us,
+		.waits = opts->waits,
 		.refusal = opts->tls == NULL ? opts->connection_refusal : NULL,
 	};
 
@@ -232,10 +243,22 @@
 }
 
 void
-http_server_close_idle(struct http_server *server,
-    bool (*busy)(void *, evutil_socket_t), void *ctx)
+http_server_close_idle(struct http_server *server)
+{
+	http_conns_close_idle(server->conns);
+}
+
+void
+http_server_set_waits(
+    struct http_server *server, const struct http_conns_waits *waits)
+{
+	http_conns_set_waits(server->conns, waits);
+}
+
+void
+http_server_answered(struct http_server *server, struct evhttp_request *req)
 {
-	http_conns_close_idle(server->conns, busy, ctx);
+	http_conns_answered(server->conns, descriptor(req));
 }
 
 void
@@ -298,7 +321,7 @@
  * stays silent; EV_CLOSED on the descriptor does not disturb pipelining.
  */
 struct http_watch *
-http_watch_create(struct event_base *base, struct evhttp_request *req,
+http_watch_create(struct http_server *server, struct evhttp_request *req,
     void (*gone)(void *), void *ctx)
 {
 	struct evhttp_connection *evcon = evhttp_request_get_connection(req);
@@ -309,7 +332,7 @@
 		abort();
 	watch->gone = gone;
 	watch->ctx = ctx;
-	watch->event = event_new(base, bufferevent_getfd(bev),
+	watch->event = event_new(server->opts.base, bufferevent_getfd(bev),
 	    EV_CLOSED | EV_PERSIST, on_closed, watch);
 	if (watch->event != NULL)
 		event_add(watch->event, NULL);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -11,6 +11,8 @@
 #include <event2/http.h>
 #include <event2/util.h>
 
+#include "transport/http_conns.h"
+
 struct event_base;
 struct evhttp_request;
 struct http_server;
@@ -35,7 +37,7 @@
 	size_t max_headers;
 	int64_t idle_timeout_us; /* for reading a request and writing answers */
 	unsigned max_connections; /* 0: no bound; further ones are refused */
-	int64_t first_request_us; /* longest time for it to arrive; 0: none */
+	struct http_conns_waits waits;
 	const char *connection_refusal; /* a whole answer; NULL: none */
 	struct metrics *metrics; /* for what is refused here */
 	const struct tls *tls;
@@ -49,9 +51,16 @@
 void http_server_destroy(struct http_server *);
 int http_server_listen(struct http_server *, const char *address);
 void http_server_stop_listening(struct http_server *);
-/* Closes kept connections; busy() tells those whose request is under way. */
-void http_server_close_idle(struct http_server *,
-    bool (*busy)(void *ctx, evutil_socket_t fd), void *ctx);
+/* Closes kept connections whose requests are all answered. */
+void http_server_close_idle(struct http_server *);
+/* Also for the connections that are open. */
+void http_server_set_waits(
+    struct http_server *, const struct http_conns_waits *);
+/*
+ * The answer was written: to be called where a handler set
+ * a completion callback of its own, which takes the place of the server's.
+ */
+void http_server_answered(struct http_server *, struct evhttp_request *);
 
 /* Answers with a body of the given type. */
 void http_reply(struct evhttp_request *, int code, const char *content_type,
@@ -69,7 +78,7 @@
  * has no answer yet.  http_watch_free() stops it; free it before the last
  * chunk is sent.
  */
-struct http_watch *http_watch_create(struct event_base *,
+struct http_watch *http_watch_create(struct http_server *,
     struct evhttp_request *, void (*gone)(void *ctx), void *ctx);
 void http_watch_free(struct http_watch *);
 
--- a/test/process/harness_fleet.c
+++ b/test/process/harness_fleet.c
@@ -50,8 +50,9 @@
 	    "\"weights_mb\":100,\"load_s\":1,\"disk_s\":0.1,\"warm_s\":0.1},"
 	    "{\"name\":\"m3\",\"weights_mb\":100,\"load_s\":1,\"disk_s\":0.1,"
 	    "\"warm_s\":0.1}]}},{\"name\":\"app\"}],"
-	    "\"limits\":{\"max_body_bytes\":100000}}",
-	    ++fleet.version, routes, more_routes);
+	    "\"limits\":{\"max_body_bytes\":100000%s}}",
+	    ++fleet.version, routes, more_routes,
+	    fleet.limits == NULL ? "" : fleet.limits);
 
 	fleet_write_key("keyed.op", "config", doc);
 	g_free(doc);
--- a/test/process/harness_fleet.h
+++ b/test/process/harness_fleet.h
@@ -33,6 +33,7 @@
 	char ready[FLEET_GATEWAYS][HARNESS_TEXT];
 	char peer[FLEET_GATEWAYS][HARNESS_TEXT];
 	int version;
+	const char *limits; /* more of the configuration's; or NULL */
 	int requests;
 };
 
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -282,6 +282,73 @@
 	fleet_stop();
 }
 
+static int
+connect_front(int gateway)
+{
+	struct addr addr;
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(addr_parse(&addr, fleet.front[gateway]), ==, 0);
+	inet_pton(AF_INET, addr.host, &sin.sin_addr);
+	sin.sin_port = htons(addr.port);
+	g_assert_cmpint(
+	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
+	return fd;
+}
+
+/* Milliseconds until the gateway closes the connection. */
+static int64_t
+until_closed(int fd)
+{
+	int64_t start = now_ms();
+	char buf[4096];
+
+	while (recv(fd, buf, sizeof(buf), 0) > 0)
+		;
+	close(fd);
+	return now_ms() - start;
+}
+
+/*
+ * The limits of the configuration: a whole request within both time-outs, of
+ * the start or of the last answer; no answer under way is cut off.
+ */
+static void
+test_idle_callers(void)
+{
+	static const char whole[] = "GET /look/1 HTTP/1.1\r\n"
+				    "Host: h.example\r\n"
+				    "Tamarackmast-Request-Id: idle1\r\n\r\n";
+	const int64_t both_ms = 600;
+	int open[2], kept, half;
+	struct answer a;
+	int r;
+
+	fleet_start();
+	open[0] = connect_front(0);
+	open[1] = connect_front(0);
+	fleet.limits = ",\"header_timeout_ms\":200,\"idle_timeout_ms\":400";
+	fleet_configure(
+	    ",{\"name\":\"new\",\"host\":\"h.example\",\"path_prefix\":"
+	    "\"/new/\",\"kind\":\"safe\",\"service\":\"app\"}");
+	await_true(serves_new_route, &(int){ 0 }, "new limits in force");
+	/* Connections from before keep to them as well. */
+	for (int i = 0; i < 2; i++)
+		g_assert_cmpint(until_closed(open[i]), <, HARNESS_LIMIT_MS);
+	kept = connect_front(0);
+	half = connect_front(0);
+	g_assert_cmpint((int)send(kept, whole, sizeof(whole) - 1, 0), >, 0);
+	g_assert_cmpint((int)send(half, whole, 20, 0), >, 0);
+	g_assert_cmpint(until_closed(kept), >=, both_ms);
+	g_assert_cmpint(until_closed(half), <, HARNESS_LIMIT_MS);
+	/* This one waits for a load that takes a second. */
+	r = fleet_request(&a, 0, "/stream/1", "m3");
+	g_assert_true(fleet_whole_stream(&a, r));
+	answer_clear(&a);
+	fleet_stop();
+}
+
 /* A second request that hides in the body of a first one. */
 static void
 test_smuggling(void)
@@ -303,20 +370,13 @@
 		"GET /book/1 HTTP/1.1\r\nHost: h.example\r\n"
 		"Tamarackmast-Request-Id: x6\r\n\r\n",
 	};
-	struct addr addr;
-	struct sockaddr_in sin = { .sin_family = AF_INET };
 	char buf[256];
 
 	fleet_start();
-	g_assert_cmpint(addr_parse(&addr, fleet.front[0]), ==, 0);
-	inet_pton(AF_INET, addr.host, &sin.sin_addr);
-	sin.sin_port = htons(addr.port);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
-		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		int fd = connect_front(0);
 		ssize_t n;
 
-		g_assert_cmpint(
-		    connect(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
 		g_assert_cmpint((int)send(fd, bad[i], strlen(bad[i]), 0), >, 0);
 		n = recv(fd, buf, sizeof(buf) - 1, 0);
 		g_assert_cmpint((int)n, >, 12);
@@ -346,6 +406,7 @@
 	g_test_add_func(
 	    "/gateway/starts_without_store", test_starts_without_store);
 	g_test_add_func("/gateway/graceful_stop", test_graceful_stop);
+	g_test_add_func("/gateway/idle_callers", test_idle_callers);
 	g_test_add_func("/gateway/smuggling", test_smuggling);
 	return g_test_run();
 }
