gateway: connections to replicas within the service's bound

Cause: each gateway kept up to 48 idle connections to a replica, whatever the replica takes from all callers together (96 on one site); what is beyond is reset, and a reset request may have run.

A gateway keeps its share of max_conns while idle, by the number of gateways that the sidecars count, and sends nothing to a replica that holds max_conns of its requests. Test: /http_client/bounds_idle.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -34,6 +34,7 @@
 struct backends {
 	struct gateway *gateway;
 	unsigned count;
+	unsigned gateways; /* that share the replicas, as far as known */
 	bool in_snapshot;
 	TAILQ_HEAD(, backend) list;
 };
@@ -46,6 +47,7 @@
 	if (b == NULL)
 		return NULL;
 	b->gateway = g;
+	b->gateways = 1;
 	TAILQ_INIT(&b->list);
 	return b;
 }
@@ -78,6 +80,31 @@
 	free(all);
 }
 
+static void
+share_connections(struct backends *all, struct backend *b)
+{
+	const struct deployment *d = all->gateway->deployment;
+	const struct service_spec *s =
+	    d == NULL ? NULL : deployment_service(d, b->entry.service);
+	unsigned share = MAX_IDLE_CONNECTIONS;
+
+	if (s != NULL && s->max_conns > 0 &&
+	    s->max_conns / all->gateways < share)
+		share = s->max_conns / all->gateways;
+	http_client_set_max_idle(b->http, share == 0 ? 1 : share);
+}
+
+void
+backends_share_connections(struct backends *all, unsigned gateways)
+{
+	struct backend *b;
+
+	if (gateways > 0)
+		all->gateways = gateways;
+	TAILQ_FOREACH(b, &all->list, link)
+		share_connections(all, b);
+}
+
 struct backend *
 backends_next(struct backends *all, struct backend *b)
 {
@@ -145,6 +172,7 @@
 		return NULL;
 	}
 	b->entry = *entry;
+	share_connections(all, b);
 	b->listed = true;
 	b->listed_us = clock_now(g->process.clock);
 	b->slowness = 1;
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -78,6 +78,12 @@
 /* Ends what lapsed, and frees what nobody uses. */
 void backends_tick(struct backends *);
 
+/*
+ * Divides the connections that replicas take among so many gateways (0: as many
+ * as before): each keeps its share of them at most while idle.
+ */
+void backends_share_connections(struct backends *, unsigned gateways);
+
 /* Iterates; NULL starts. */
 struct backend *backends_next(struct backends *, struct backend *);
 unsigned backends_count(const struct backends *);
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -96,6 +96,13 @@
 	    backend_load_us(b, spec, terms->model, terms->adapter, now);
 }
 
+/* A replica resets what is beyond its bound, and then may have run it. */
+static bool
+has_connection(const struct backend *b, const struct service_spec *service)
+{
+	return service->max_conns == 0 || b->in_flight < service->max_conns;
+}
+
 struct candidates *
 candidates_list(struct gateway *g, const struct service_spec *service,
     const struct request_terms *terms, const uint64_t *tried,
@@ -122,7 +129,9 @@
 			continue;
 		fill(g, spec, terms, b, now, &c.replicas[c.count]);
 		c.replicas[c.count].usable =
-		    backend_takes_work(b) && !was_tried(b, tried, tried_count);
+		    backend_takes_work(b) &&
+		    !was_tried(b, tried, tried_count) &&
+		    has_connection(b, service);
 		c.backends[c.count++] = b;
 	}
 	return &c;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -123,6 +123,7 @@
 
 	g->deployment = deployment_share_get(g->share);
 	bound_callers(g);
+	backends_share_connections(g->backends, 0);
 	sidecar_links_refresh(g->links);
 }
 
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -91,6 +91,7 @@
 	if (gateways <= l->gateways)
 		return;
 	l->gateways = gateways;
+	backends_share_connections(g->backends, gateways);
 	if (gateways > g->settings.retry_sharers)
 		retry_budget_set_burst(
 		    g->budget, gateway_retry_burst(g, gateways));
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -700,6 +700,14 @@
 	return client;
 }
 
+void
+http_client_set_max_idle(struct http_client *client, unsigned max_idle)
+{
+	client->opts.max_idle = max_idle;
+	while (client->idle_count > max_idle)
+		conn_close(TAILQ_LAST(&client->idle, conn_list));
+}
+
 void
 http_client_drop_idle(struct http_client *client)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -96,6 +96,8 @@
 
 /* Connections open or being opened. */
 unsigned http_client_open(const struct http_client *);
+/* Closes idle connections beyond the bound, the longest idle first. */
+void http_client_set_max_idle(struct http_client *, unsigned max_idle);
 /* Closes all idle connections, as after a change of the server there. */
 void http_client_drop_idle(struct http_client *);
 
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -249,6 +249,26 @@
 	close_fixture(&f);
 }
 
+/* The bound on idle connections, as it shrinks and forbids them. */
+static void
+test_bounds_idle(void)
+{
+	static const struct step script[] = { { OK_A, KEEP }, { OK_B, KEEP } };
+	struct fixture f;
+
+	open_fixture(&f, script);
+	call(&f);
+	settle(&f);
+	http_client_set_max_idle(f.client, 1);
+	g_assert_cmpuint(http_client_open(f.client), ==, 1);
+	http_client_set_max_idle(f.client, 0);
+	g_assert_cmpuint(http_client_open(f.client), ==, 0);
+	call(&f);
+	settle(&f);
+	g_assert_cmpuint(http_client_open(f.client), ==, 0);
+	close_fixture(&f);
+}
+
 static void
 check_one(
     const struct step *script, enum http_call_status status, const char *body)
@@ -315,6 +335,7 @@
 	g_test_add_func("/http_client/keeps", test_keeps_connections);
 	g_test_add_func("/http_client/extra_answers", test_extra_answers);
 	g_test_add_func("/http_client/stray_bytes", test_stray_bytes);
+	g_test_add_func("/http_client/bounds_idle", test_bounds_idle);
 	g_test_add_func("/http_client/ends", test_ends);
 	g_test_add_func("/http_client/not_sent", test_not_sent);
 	return g_test_run();
