sidecar: a permit of the weight store is asked for only when a load could follow

Cause: a sidecar asked for a permit for each model that was wanted and not on hand, also while its replica had no room for it.

Now swap_next() tells whether a permit would allow a more urgent step, and only then is one asked for; who no longer asks gives up its turn. Test: permits in /swap (no permit while nothing can make way, or while another goes first).

--- a/src/coordination/load_permit.c
+++ b/src/coordination/load_permit.c
@@ -19,6 +19,8 @@
 #define RETRY_US (200 * USEC_PER_MSEC)
 /* An unused permit is as old as a load that has begun. */
 #define PERMIT_KEEP_US (2 * USEC_PER_SEC)
+/* Who asks asks again at each report, several times a second. */
+#define ASK_KEEP_US (1 * USEC_PER_SEC)
 
 struct load_permit {
 	struct load_permit_options opts;
@@ -28,6 +30,7 @@
 	double rate;
 	uint64_t end; /* read so far */
 	bool asking;
+	int64_t asked_us; /* last */
 	bool held;
 	int64_t held_us;
 	int64_t alone_us; /* the last load without the store */
@@ -61,6 +64,10 @@
 	int64_t now = clock_wall(process->clock);
 	uint64_t record = htobe64((uint64_t)now);
 
+	if (clock_now(process->clock) - p->asked_us > ASK_KEEP_US) {
+		p->asking = false; /* nobody waits for it any more */
+		return;
+	}
 	if (!load_window_allows(&p->window, now)) {
 		process_timer_add(
 		    p->retry, RETRY_US + (int64_t)rng_below(&p->rng, RETRY_US));
@@ -141,6 +148,7 @@
 void
 load_permit_ask(struct load_permit *p, double rate)
 {
+	p->asked_us = clock_now(p->opts.process->clock);
 	if (p->asking || load_permit_held(p))
 		return;
 	if (rate != p->rate) {
--- a/src/coordination/swap.c
+++ b/src/coordination/swap.c
@@ -137,7 +137,7 @@
 }
 
 static struct swap_step
-next_for(const struct swap_input *in, const struct swap_want *w)
+next_for(const struct swap_input *in, const struct swap_want *w, bool permitted)
 {
 	const struct swap_model *m = held(in, w->model);
 
@@ -146,7 +146,7 @@
 			return step(SWAP_NONE, NULL, NULL);
 		return next_adapter(in, w);
 	}
-	if (!w->may_load)
+	if (w->needs_permit && !permitted)
 		return step(SWAP_NONE, NULL, NULL);
 	if (swap_used_mb(in) + w->size_mb > in->memory_mb)
 		return evict_model(in);
@@ -161,9 +161,9 @@
 	return a->since_us < b->since_us;
 }
 
-/* The most urgent want that something can be done for. */
-struct swap_step
-swap_next(const struct swap_input *in)
+/* What the most urgent want needs that something can be done for. */
+static struct swap_step
+choose(const struct swap_input *in, bool permitted)
 {
 	struct swap_step best = { SWAP_NONE, NULL, NULL };
 	const struct swap_want *first = NULL;
@@ -174,7 +174,7 @@
 
 		if (first != NULL && !comes_before(w, first))
 			continue;
-		s = next_for(in, w);
+		s = next_for(in, w, permitted);
 		if (s.op == SWAP_NONE)
 			continue;
 		best = s;
@@ -182,3 +182,14 @@
 	}
 	return best;
 }
+
+struct swap_step
+swap_next(const struct swap_input *in, bool *ask)
+{
+	struct swap_step now = choose(in, false);
+	struct swap_step best = choose(in, true);
+
+	*ask = now.op != best.op || now.model != best.model ||
+	       now.adapter != best.adapter;
+	return now;
+}
--- a/src/coordination/swap.h
+++ b/src/coordination/swap.h
@@ -38,7 +38,7 @@
 	int64_t since_us;
 	double size_mb; /* of the model */
 	double adapter_mb;
-	bool may_load; /* the weight store allows it, or has no part in it */
+	bool needs_permit; /* comes from the weight store, and has no permit */
 };
 
 struct swap_input {
@@ -64,7 +64,12 @@
 	const char *adapter; /* NULL: the model itself */
 };
 
-struct swap_step swap_next(const struct swap_input *);
+/*
+ * The most urgent step that needs no permit.  *ask: a permit would allow one
+ * that is more urgent; a permit asked for before would be lost to others while
+ * the replica has no room.
+ */
+struct swap_step swap_next(const struct swap_input *, bool *ask);
 
 /* Memory that models and adapters hold. */
 double swap_used_mb(const struct swap_input *);
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -194,6 +194,7 @@
 
 struct swap_view {
 	struct swap_input in;
+	double loads_per_s;
 	struct swap_model models[FLEET_MODELS_MAX];
 	struct swap_adapter adapters[FLEET_MODELS_MAX][2 * FLEET_ADAPTERS_MAX];
 	struct swap_want wants[WANTS_MAX];
@@ -263,10 +264,8 @@
 		out->since_us = w->since_us;
 		out->size_mb = spec->size_mb;
 		out->adapter_mb = spec->adapter_mb;
-		out->may_load =
-		    !from_store(s, w->model) || load_permit_held(s->permit);
-		if (!out->may_load && held(s, w->model) == NULL)
-			load_permit_ask(s->permit, engine->loads_per_s);
+		out->needs_permit =
+		    from_store(s, w->model) && !load_permit_held(s->permit);
 		v->in.want_count++;
 	}
 }
@@ -285,6 +284,7 @@
 	v->in.min_keep_us = s->sidecar->settings.min_keep_ms * USEC_PER_MSEC;
 	v->in.memory_mb = engine->memory_mb;
 	v->in.adapter_places = engine->adapter_places;
+	v->loads_per_s = engine->loads_per_s;
 	v->in.models = v->models;
 	v->in.wants = v->wants;
 	for (unsigned i = 0; i < s->state.model_count; i++)
@@ -423,6 +423,7 @@
 {
 	static struct swap_view v;
 	struct swap_step step;
+	bool ask;
 
 	drop_wants(s);
 	/* The replica refuses any order while it carries one out. */
@@ -432,7 +433,9 @@
 		return;
 	if (make_view(s, &v) == -1)
 		return;
-	step = swap_next(&v.in);
+	step = swap_next(&v.in, &ask);
+	if (ask)
+		load_permit_ask(s->permit, v.loads_per_s);
 	if (step.op == SWAP_NONE)
 		return;
 	if (s->id[0] == '\0') {
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -300,8 +300,7 @@
 		.adapter = adapter,
 		.rank = rank,
 		.size_mb = 60,
-		.adapter_mb = 1,
-		.may_load = true };
+		.adapter_mb = 1 };
 
 	return w;
 }
@@ -318,20 +317,27 @@
 		.model_count = 3,
 		.wants = wants,
 		.want_count = 1 };
-	struct swap_step s = swap_next(&in);
+	bool ask;
+	struct swap_step s = swap_next(&in, &ask);
 
 	g_assert_cmpint(s.op, ==, SWAP_UNLOAD);
 	g_assert_cmpstr(s.model, ==, "b");
 	models[1].in_flight = 1;
-	g_assert_cmpstr(swap_next(&in).model, ==, "c");
+	g_assert_cmpstr(swap_next(&in, &ask).model, ==, "c");
 	in.memory_mb = 240;
-	s = swap_next(&in);
+	s = swap_next(&in, &ask);
 	g_assert_cmpint(s.op, ==, SWAP_LOAD);
 	g_assert_cmpstr(s.model, ==, "d");
 	/* Without a permit of the weight store nothing makes way. */
-	wants[0].may_load = false;
+	wants[0].needs_permit = true;
 	in.memory_mb = 200;
-	g_assert_cmpint(swap_next(&in).op, ==, SWAP_NONE);
+	g_assert_cmpint(swap_next(&in, &ask).op, ==, SWAP_NONE);
+	g_assert_true(ask);
+	/* Nor is one asked for while nothing can make way. */
+	for (size_t i = 0; i < G_N_ELEMENTS(models); i++)
+		models[i].in_flight = 1;
+	g_assert_cmpint(swap_next(&in, &ask).op, ==, SWAP_NONE);
+	g_assert_false(ask);
 }
 
 static void
@@ -350,15 +356,17 @@
 		.wants = wants,
 		.want_count = 1 };
 
+	bool ask;
+
 	m.adapters = adapters;
 	m.adapter_count = 2;
 	/* Both places are taken, and neither adapter may go. */
-	g_assert_cmpint(swap_next(&in).op, ==, SWAP_NONE);
+	g_assert_cmpint(swap_next(&in, &ask).op, ==, SWAP_NONE);
 	in.adapter_places = 3;
-	g_assert_cmpint(swap_next(&in).op, ==, SWAP_LOAD);
+	g_assert_cmpint(swap_next(&in, &ask).op, ==, SWAP_LOAD);
 	/* One that is on its way is not ordered again. */
 	wants[0].adapter = "a2";
-	g_assert_cmpint(swap_next(&in).op, ==, SWAP_NONE);
+	g_assert_cmpint(swap_next(&in, &ask).op, ==, SWAP_NONE);
 }
 
 static void
@@ -372,11 +380,17 @@
 		.model_count = 1,
 		.wants = wants,
 		.want_count = 2 };
+	bool ask;
 
-	g_assert_cmpstr(swap_next(&in).model, ==, "c");
+	g_assert_cmpstr(swap_next(&in, &ask).model, ==, "c");
 	/* What must wait for the weight store does not hold the other up. */
-	wants[1].may_load = false;
-	g_assert_cmpstr(swap_next(&in).model, ==, "b");
+	wants[1].needs_permit = true;
+	g_assert_cmpstr(swap_next(&in, &ask).model, ==, "b");
+	g_assert_true(ask);
+	wants[1].needs_permit = false;
+	wants[0].needs_permit = true;
+	g_assert_cmpstr(swap_next(&in, &ask).model, ==, "c");
+	g_assert_false(ask); /* its turn comes first */
 }
 
 /* ---- load_window ---- */
