gateway: requests wait for a deployment that nobody knows yet

A gateway that starts so keeps a request for a quarter of the time that it has, 2.5 s at most, and 256 requests at most; after that it is refused with a time to come back. Gateways of which one knows the deployment are not concerned: they tell each other within milliseconds. Routing moved to exchange_start.c. 404, 413 and 431 carry no Retry-After any more.

Test: /gateway/waits_for_deployment (refused at once on the code before).

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -24,9 +24,6 @@
 #include "state/deployment.h"
 #include "transport/http_server.h"
 
-#define MAX_BACKLOG                                                            \
-	(4 * 1024 * 1024) /* bytes a slow caller may leave unread              \
-			   */
 /* Callers' patience with a silent stream: the longest of these. */
 #define PATIENCE_MIN_US (2 * USEC_PER_SEC)
 #define PATIENCE_GOALS 4 /* times the goal for the first piece */
@@ -37,15 +34,6 @@
 /* Callers return after at most a third of the time they have left. */
 #define RETRY_AFTER_SHARE 0.33
 #define RETRY_AFTER_MIN_US (100 * USEC_PER_MSEC)
-#define DEFAULT_DEADLINE_US (60 * USEC_PER_SEC)
-/* Kept for the way of the answer back to the caller. */
-#define DEADLINE_MARGIN_US (10 * USEC_PER_MSEC)
-
-/*
- * A stopping gateway takes requests while balancers still send new connections;
- * later ones could be cut by its end.
- */
-#define STOP_TAKES_US (2900 * USEC_PER_MSEC)
 
 /* ---- ends ---- */
 
@@ -54,6 +42,8 @@
 {
 	struct gateway *g = x->gateway;
 
+	if (x->deployment == NULL)
+		g->unrouted--;
 	exchange_drop_call(x);
 	TAILQ_REMOVE(&g->exchanges, x, link);
 	event_free(x->timer);
@@ -77,16 +67,17 @@
 	int64_t now = clock_now(g->process.clock);
 
 	log_info(g->process.logger, outcome, LF_S("request", x->terms.id),
-	    LF_S("route", x->route->name), LF_S("model", x->terms.model),
-	    LF_I("code", code), LF_S("why", why), LF_I("attempts", x->attempts),
-	    LF_I("unreachable", x->unreachable),
+	    LF_S("route", x->route == NULL ? "" : x->route->name),
+	    LF_S("model", x->terms.model), LF_I("code", code), LF_S("why", why),
+	    LF_I("attempts", x->attempts), LF_I("unreachable", x->unreachable),
 	    LF_I("may_have_run", x->may_have_run),
 	    LF_I("took_us", now - x->arrived_us), LF_I("begun", x->begun),
 	    LF_I("first_us", x->first_us), LF_I("max_gap_us", x->max_gap_us),
 	    LF_I("predicted_us", x->predicted_us),
 	    LF_I("left_us", x->deadline_us - now),
 	    LF_I("retry_after_us", retry_after_us),
-	    LF_I("version", x->deployment->version));
+	    LF_I(
+		"version", x->deployment == NULL ? 0 : x->deployment->version));
 }
 
 static void
@@ -111,18 +102,14 @@
 	caller_problem(x->caller, &p);
 }
 
-void
-exchange_refuse(struct exchange *x, enum result code, const char *why,
-    int64_t retry_after_us)
+/* Returns the time that the caller is told. */
+static int64_t
+tell_retry_after(struct exchange *x, int64_t retry_after_us)
 {
 	int64_t most =
 	    (int64_t)((double)exchange_left_us(x) * RETRY_AFTER_SHARE);
 	char seconds[32];
 
-	if (x->may_have_run || x->begun) {
-		exchange_fail(x, RESULT_OUTCOME_UNKNOWN, why);
-		return;
-	}
 	if (retry_after_us < RETRY_AFTER_MIN_US)
 		retry_after_us = RETRY_AFTER_MIN_US;
 	/* Spreads the callers that were refused at the same time. */
@@ -133,9 +120,24 @@
 	snprintf(seconds, sizeof(seconds), "%.3f",
 	    (double)retry_after_us / USEC_PER_SEC);
 	caller_add_header(x->caller, "Retry-After", seconds);
+	return retry_after_us;
+}
+
+void
+exchange_refuse(struct exchange *x, enum result code, const char *why,
+    int64_t retry_after_us)
+{
+	int status = result_info(code)->http_status;
+
+	if (x->may_have_run || x->begun) {
+		exchange_fail(x, RESULT_OUTCOME_UNKNOWN, why);
+		return;
+	}
+	/* Other refusals stand until the caller or the deployment changes. */
+	if (status == 503 || status == 429)
+		retry_after_us = tell_retry_after(x, retry_after_us);
 	(*x->gateway->counters.refused)++;
-	log_end(x, "request refused", result_info(code)->http_status, why,
-	    retry_after_us);
+	log_end(x, "request refused", status, why, retry_after_us);
 	reply_problem_code(x, code, why);
 	exchange_free(x);
 }
@@ -179,8 +181,8 @@
 	exchange_free(x);
 }
 
-static void
-on_gone(void *ctx)
+void
+exchange_on_gone(void *ctx)
 {
 	struct exchange *x = ctx;
 
@@ -207,10 +209,10 @@
 		exchange_refuse(x, refused, why, 0);
 }
 
-static void
-on_deadline(evutil_socket_t fd, short what, void *arg)
+void
+exchange_on_deadline(struct exchange *x)
 {
-	give_up(arg, RESULT_DEADLINE_UNREACHABLE, "deadline passed");
+	give_up(x, RESULT_DEADLINE_UNREACHABLE, "deadline passed");
 }
 
 /* ---- choosing ---- */
@@ -290,7 +292,7 @@
 {
 	int64_t now = clock_now(x->gateway->process.clock);
 
-	return x->tried_count == 0 && now - x->arrived_us < WAIT_REPLICA_US &&
+	return x->tried_count == 0 && now - x->routed_us < WAIT_REPLICA_US &&
 	       exchange_left_us(x) > WAIT_REPLICA_US;
 }
 
@@ -367,181 +369,3 @@
 		exchange_free(x);
 	}
 }
-
-/* ---- arrival ---- */
-
-static void
-refuse_early(struct gateway *g, struct evhttp_request *req, enum result code,
-    const char *why)
-{
-	struct problem p = {
-		.code = code,
-		.outcome = result_info(code)->outcome,
-		.detail = why,
-	};
-
-	log_info(g->process.logger, "request refused", LF_S("why", why),
-	    LF_I("code", result_info(code)->http_status),
-	    LF_S("path", evhttp_request_get_uri(req)));
-	if (code == RESULT_BAD_REQUEST || g->stop_us != 0)
-		evhttp_add_header(evhttp_request_get_output_headers(req),
-		    "Connection", "close");
-	if (result_info(code)->http_status == 503)
-		evhttp_add_header(evhttp_request_get_output_headers(req),
-		    "Retry-After", "0.3");
-	reply_problem(req, &p);
-}
-
-/*
- * What evhttp reads leniently may mean another length to someone else: a second
- * request could hide in the body.
- */
-static const char *
-framing_fault(struct evhttp_request *req)
-{
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
-	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
-	const char *length = NULL;
-	struct evkeyval *h;
-	unsigned codings = 0;
-
-	TAILQ_FOREACH(h, headers, next) {
-		if (strcasecmp(h->key, "Transfer-Encoding") == 0)
-			codings++;
-		if (strcasecmp(h->key, "Content-Length") != 0)
-			continue;
-		if (length != NULL)
-			return "more than one Content-Length";
-		length = h->value;
-	}
-	if (coding != NULL && length != NULL)
-		return "Content-Length beside Transfer-Encoding";
-	if (codings > 1 ||
-	    (coding != NULL && strcasecmp(coding, "chunked") != 0))
-		return "unknown Transfer-Encoding";
-	if (length != NULL &&
-	    (length[0] == '\0' ||
-		strspn(length, "0123456789") != strlen(length)))
-		return "malformed Content-Length";
-	return NULL;
-}
-
-static const struct route *
-find_route(struct gateway *g, struct evhttp_request *req)
-{
-	const char *host = http_header_in(req, "Host");
-	const char *uri = evhttp_request_get_uri(req);
-	size_t len = strcspn(uri, "?");
-	const struct route *route;
-	char *path;
-
-	if (host == NULL)
-		return NULL;
-	path = strndup(uri, len);
-	if (path == NULL)
-		abort();
-	route = deployment_route(g->deployment, host, path);
-	free(path);
-	return route;
-}
-
-static bool
-over_limits(struct gateway *g, struct evhttp_request *req, enum result *code)
-{
-	const struct deployment *d = g->deployment;
-	size_t body = evbuffer_get_length(evhttp_request_get_input_buffer(req));
-	size_t headers = strlen(evhttp_request_get_uri(req));
-	struct evkeyval *h;
-
-	TAILQ_FOREACH(h, evhttp_request_get_input_headers(req), next)
-		headers += strlen(h->key) + strlen(h->value) + strlen(": \r\n");
-	*code = RESULT_TOO_LARGE;
-	if (d->max_body_bytes != 0 && body > d->max_body_bytes)
-		return true;
-	*code = RESULT_HEADERS_TOO_LARGE;
-	return d->max_header_bytes != 0 && headers > d->max_header_bytes;
-}
-
-static void
-set_deadline(struct exchange *x)
-{
-	int64_t wait_us = x->terms.deadline_us > 0 ? x->terms.deadline_us
-						   : DEFAULT_DEADLINE_US;
-
-	if (x->route->timeout_us > 0 && x->route->timeout_us < wait_us)
-		wait_us = x->route->timeout_us;
-	if (wait_us > DEADLINE_MARGIN_US)
-		wait_us -= DEADLINE_MARGIN_US;
-	x->deadline_us = x->arrived_us + wait_us;
-	process_timer_add(x->timer, wait_us);
-}
-
-static void
-start(struct gateway *g, struct evhttp_request *req, const struct route *route,
-    const struct request_terms *terms)
-{
-	struct exchange *x = calloc(1, sizeof(*x));
-	struct evbuffer *body = evhttp_request_get_input_buffer(req);
-
-	if (x == NULL)
-		abort();
-	x->gateway = g;
-	x->deployment = deployment_ref(g->deployment);
-	x->route = route;
-	x->terms = *terms;
-	x->arrived_us = clock_now(g->process.clock);
-	x->body_len = evbuffer_get_length(body);
-	x->body = evbuffer_pullup(body, -1);
-	x->has_last = terms->resumes;
-	x->last_event = terms->last_event;
-	x->service = route_pick_service(route, rng_real(&g->rng));
-	TAILQ_INIT(&x->headers);
-	TAILQ_INSERT_TAIL(&g->exchanges, x, link);
-	x->timer = process_timer(&g->process, on_deadline, x);
-	x->silence = process_timer(&g->process, exchange_on_silence, x);
-	x->caller = caller_create(g->front, req, MAX_BACKLOG, on_gone, x);
-	caller_count(x->caller, &g->open);
-	set_deadline(x);
-	retry_budget_note(g->budget, x->service);
-	model_rates_note(g->rates, x->terms.model, x->arrived_us);
-	exchange_dispatch(x);
-}
-
-void
-exchange_start(struct gateway *g, struct evhttp_request *req)
-{
-	const char *fault = framing_fault(req);
-	struct request_terms terms;
-	const struct route *route;
-	struct fleet_error err;
-	enum result code;
-
-	if (fault != NULL) {
-		refuse_early(g, req, RESULT_BAD_REQUEST, fault);
-		return;
-	}
-	if (g->stop_us != 0 &&
-	    clock_now(g->process.clock) - g->stop_us > STOP_TAKES_US) {
-		refuse_early(g, req, RESULT_LEAVING, "stopping");
-		return;
-	}
-	if (g->deployment == NULL) {
-		refuse_early(g, req, RESULT_NOT_READY, "no deployment yet");
-		return;
-	}
-	route = find_route(g, req);
-	if (route == NULL) {
-		refuse_early(g, req, RESULT_NOT_FOUND, "no route");
-		return;
-	}
-	if (over_limits(g, req, &code)) {
-		refuse_early(g, req, code, "over the deployment's limit");
-		return;
-	}
-	if (g->adapter->read_request(
-		evhttp_request_get_input_headers(req), &terms, &err) == -1) {
-		refuse_early(g, req, RESULT_BAD_REQUEST, err.text);
-		return;
-	}
-	start(g, req, route, &terms);
-}
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,9 @@
 /* Takes over the request. */
 void exchange_start(struct gateway *, struct evhttp_request *);
 
+/* A deployment is known: routes the requests that waited for one. */
+void exchanges_route(struct gateway *);
+
 /* Replicas changed: looks at the waiting requests again. */
 void exchanges_review(struct gateway *);
 
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -28,13 +28,14 @@
 struct exchange {
 	struct gateway *gateway;
 	struct caller *caller;
-	struct deployment *deployment; /* under which it was routed */
+	struct deployment *deployment; /* under which it was routed; or NULL */
 	const struct route *route;
 	const char *service;
 	struct request_terms terms;
 	const void *body; /* of the caller's request, which outlives this */
 	size_t body_len;
 	int64_t arrived_us;
+	int64_t routed_us;
 	int64_t deadline_us;
 	struct event *timer; /* deadline */
 	struct event *silence; /* of the replica: it may be asked elsewhere */
@@ -74,6 +75,10 @@
 void exchange_dispatch(struct exchange *);
 int64_t exchange_left_us(const struct exchange *);
 
+/* The caller left; the time that it has is over. */
+void exchange_on_gone(void *exchange);
+void exchange_on_deadline(struct exchange *);
+
 /* Ends, each of them frees the exchange. */
 void exchange_refuse(
     struct exchange *, enum result, const char *why, int64_t retry_after_us);
--- /dev/null
+++ b/src/gateway/exchange_start.c
@@ -0,0 +1,279 @@
+/* How a caller's request becomes an exchange, and is routed. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "coordination/model_rate.h"
+#include "coordination/retry_budget.h"
+#include "gateway/exchange.h"
+#include "gateway/exchange_internal.h"
+#include "protocol/caller.h"
+#include "protocol/problem.h"
+#include "state/deployment.h"
+#include "transport/http_server.h"
+
+#define MAX_BACKLOG                                                            \
+	(4 * 1024 * 1024) /* bytes a slow caller may leave unread              \
+			   */
+#define DEFAULT_DEADLINE_US (60 * USEC_PER_SEC)
+/* Kept for the way of the answer back to the caller. */
+#define DEADLINE_MARGIN_US (10 * USEC_PER_MSEC)
+
+/*
+ * A stopping gateway takes requests while balancers still send new connections;
+ * later ones could be cut by its end.
+ */
+#define STOP_TAKES_US (2900 * USEC_PER_MSEC)
+
+/*
+ * A gateway that starts while nobody can tell it the deployment keeps requests
+ * for a part of the time that they have: stores mostly return within seconds.
+ */
+#define UNROUTED_SHARE 4 /* of the caller's deadline: one part in so many */
+#define UNROUTED_MAX_US (2500 * USEC_PER_MSEC)
+#define UNROUTED_MAX 256 /* requests; their bodies are kept */
+#define UNROUTED_RETRY_US (1 * USEC_PER_SEC)
+
+/* ---- refusals before there is an exchange ---- */
+
+static void
+refuse_early(struct gateway *g, struct evhttp_request *req, enum result code,
+    const char *why)
+{
+	struct problem p = {
+		.code = code,
+		.outcome = result_info(code)->outcome,
+		.detail = why,
+	};
+
+	log_info(g->process.logger, "request refused", LF_S("why", why),
+	    LF_I("code", result_info(code)->http_status),
+	    LF_S("path", evhttp_request_get_uri(req)));
+	if (code == RESULT_BAD_REQUEST || g->stop_us != 0)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+		    "Connection", "close");
+	if (result_info(code)->http_status == 503)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+		    "Retry-After", "0.3");
+	reply_problem(req, &p);
+}
+
+/*
+ * What evhttp reads leniently may mean another length to someone else: a second
+ * request could hide in the body.
+ */
+static const char *
+framing_fault(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+	const char *length = NULL;
+	struct evkeyval *h;
+	unsigned codings = 0;
+
+	TAILQ_FOREACH(h, headers, next) {
+		if (strcasecmp(h->key, "Transfer-Encoding") == 0)
+			codings++;
+		if (strcasecmp(h->key, "Content-Length") != 0)
+			continue;
+		if (length != NULL)
+			return "more than one Content-Length";
+		length = h->value;
+	}
+	if (coding != NULL && length != NULL)
+		return "Content-Length beside Transfer-Encoding";
+	if (codings > 1 ||
+	    (coding != NULL && strcasecmp(coding, "chunked") != 0))
+		return "unknown Transfer-Encoding";
+	if (length != NULL &&
+	    (length[0] == '\0' ||
+		strspn(length, "0123456789") != strlen(length)))
+		return "malformed Content-Length";
+	return NULL;
+}
+
+/* ---- routing ---- */
+
+static const struct route *
+find_route(const struct deployment *d, struct evhttp_request *req)
+{
+	const char *host = http_header_in(req, "Host");
+	const char *uri = evhttp_request_get_uri(req);
+	size_t len = strcspn(uri, "?");
+	const struct route *route;
+	char *path;
+
+	if (host == NULL)
+		return NULL;
+	path = strndup(uri, len);
+	if (path == NULL)
+		abort();
+	route = deployment_route(d, host, path);
+	free(path);
+	return route;
+}
+
+static bool
+over_limits(
+    const struct deployment *d, struct evhttp_request *req, enum result *code)
+{
+	size_t body = evbuffer_get_length(evhttp_request_get_input_buffer(req));
+	size_t headers = strlen(evhttp_request_get_uri(req));
+	struct evkeyval *h;
+
+	TAILQ_FOREACH(h, evhttp_request_get_input_headers(req), next)
+		headers += strlen(h->key) + strlen(h->value) + strlen(": \r\n");
+	*code = RESULT_TOO_LARGE;
+	if (d->max_body_bytes != 0 && body > d->max_body_bytes)
+		return true;
+	*code = RESULT_HEADERS_TOO_LARGE;
+	return d->max_header_bytes != 0 && headers > d->max_header_bytes;
+}
+
+static void
+set_deadline(struct exchange *x)
+{
+	int64_t now = clock_now(x->gateway->process.clock);
+	int64_t route_us = x->arrived_us + x->route->timeout_us;
+
+	if (x->route->timeout_us > 0 && route_us < x->deadline_us)
+		x->deadline_us = route_us;
+	x->deadline_us -= DEADLINE_MARGIN_US;
+	process_timer_add(
+	    x->timer, x->deadline_us > now ? x->deadline_us - now : 0);
+}
+
+/* Under the deployment in force now; it may end the exchange. */
+static void
+route(struct exchange *x)
+{
+	struct gateway *g = x->gateway;
+	struct evhttp_request *req = caller_request(x->caller);
+	enum result code;
+
+	x->deployment = deployment_ref(g->deployment);
+	x->route = find_route(x->deployment, req);
+	x->routed_us = clock_now(g->process.clock);
+	if (x->route == NULL) {
+		exchange_refuse(x, RESULT_NOT_FOUND, "no route", 0);
+		return;
+	}
+	if (over_limits(x->deployment, req, &code)) {
+		exchange_refuse(x, code, "over the deployment's limit", 0);
+		return;
+	}
+	x->service = route_pick_service(x->route, rng_real(&g->rng));
+	set_deadline(x);
+	retry_budget_note(g->budget, x->service);
+	model_rates_note(g->rates, x->terms.model, x->routed_us);
+	exchange_dispatch(x);
+}
+
+/* Keeps the request until somebody tells the deployment. */
+static void
+wait_for_deployment(struct exchange *x)
+{
+	int64_t wait_us = (x->deadline_us - x->arrived_us) / UNROUTED_SHARE;
+
+	if (wait_us > UNROUTED_MAX_US)
+		wait_us = UNROUTED_MAX_US;
+	x->gateway->unrouted++;
+	process_timer_add(x->timer, wait_us);
+}
+
+void
+exchanges_route(struct gateway *g)
+{
+	struct exchange *x, *next;
+
+	if (g->unrouted == 0)
+		return;
+	log_info(g->process.logger, "deployment known, requests waited for it",
+	    LF_I("count", g->unrouted));
+	TAILQ_FOREACH_SAFE(x, &g->exchanges, link, next) {
+		if (x->deployment != NULL)
+			continue;
+		g->unrouted--;
+		route(x);
+	}
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct exchange *x = arg;
+
+	if (x->deployment == NULL)
+		exchange_refuse(x, RESULT_NOT_READY, "no deployment yet",
+		    UNROUTED_RETRY_US);
+	else
+		exchange_on_deadline(x);
+}
+
+/* ---- arrival ---- */
+
+static struct exchange *
+create(struct gateway *g, struct evhttp_request *req,
+    const struct request_terms *terms)
+{
+	struct exchange *x = calloc(1, sizeof(*x));
+	struct evbuffer *body = evhttp_request_get_input_buffer(req);
+
+	if (x == NULL)
+		abort();
+	x->gateway = g;
+	x->terms = *terms;
+	x->arrived_us = clock_now(g->process.clock);
+	x->deadline_us =
+	    x->arrived_us +
+	    (terms->deadline_us > 0 ? terms->deadline_us : DEFAULT_DEADLINE_US);
+	x->body_len = evbuffer_get_length(body);
+	x->body = evbuffer_pullup(body, -1);
+	x->has_last = terms->resumes;
+	x->last_event = terms->last_event;
+	TAILQ_INIT(&x->headers);
+	TAILQ_INSERT_TAIL(&g->exchanges, x, link);
+	x->timer = process_timer(&g->process, on_timer, x);
+	x->silence = process_timer(&g->process, exchange_on_silence, x);
+	x->caller =
+	    caller_create(g->front, req, MAX_BACKLOG, exchange_on_gone, x);
+	caller_count(x->caller, &g->open);
+	return x;
+}
+
+void
+exchange_start(struct gateway *g, struct evhttp_request *req)
+{
+	const char *fault = framing_fault(req);
+	struct request_terms terms;
+	struct fleet_error err;
+	struct exchange *x;
+
+	if (fault != NULL) {
+		refuse_early(g, req, RESULT_BAD_REQUEST, fault);
+		return;
+	}
+	if (g->stop_us != 0 &&
+	    clock_now(g->process.clock) - g->stop_us > STOP_TAKES_US) {
+		refuse_early(g, req, RESULT_LEAVING, "stopping");
+		return;
+	}
+	if (g->deployment == NULL && g->unrouted >= UNROUTED_MAX) {
+		refuse_early(g, req, RESULT_NOT_READY, "no deployment yet");
+		return;
+	}
+	if (g->adapter->read_request(
+		evhttp_request_get_input_headers(req), &terms, &err) == -1) {
+		refuse_early(g, req, RESULT_BAD_REQUEST, err.text);
+		return;
+	}
+	x = create(g, req, &terms);
+	if (g->deployment != NULL)
+		route(x);
+	else
+		wait_for_deployment(x);
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -125,6 +125,7 @@
 	bound_callers(g);
 	backends_share_connections(g->backends, 0);
 	sidecar_links_refresh(g->links);
+	exchanges_route(g);
 }
 
 static void
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -76,6 +76,7 @@
 	struct http_server *ready;
 	struct http_server *metrics_http;
 	struct exchange_list exchanges;
+	unsigned unrouted; /* requests that wait for a deployment */
 	size_t open; /* answers that have not left this process */
 	struct retry_budget *budget;
 	struct prefix_map *prefixes;
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -249,16 +249,58 @@
 	fleet_stop();
 }
 
+static void *
+stream_once(void *answer)
+{
+	return GINT_TO_POINTER(fleet_request(answer, 0, "/stream/1", "m1"));
+}
+
 static bool
-not_ready(void *ready)
+takes_connections(void *front)
 {
-	return !fleet_gateway_ready(ready);
+	struct answer a;
+	bool takes;
+
+	http_call(&a, "GET", front, "/", NULL, NULL);
+	takes = a.code != 0;
+	answer_clear(&a);
+	return takes;
 }
 
-static void *
-stream_once(void *answer)
+/* All daemons end while the store is away: requests wait for its return. */
+static void
+test_waits_for_deployment(void)
 {
-	return GINT_TO_POINTER(fleet_request(answer, 0, "/stream/1", "m1"));
+	struct answer a = { 0 }, refused = { 0 };
+	GThread *thread;
+	int r;
+
+	fleet_start();
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		proc_stop(&fleet.gateways[i]);
+		proc_clear(&fleet.gateways[i]);
+	}
+	proc_signal(&fleet.store_proc, SIGSTOP);
+	fleet_start_gateway(0);
+	await_true(takes_connections, fleet.front[0], "listening");
+	/* Not for ever: it is told when to come back. */
+	fleet_request(&refused, 0, "/stream/1", "m1");
+	g_assert_cmpint(refused.code, ==, 503);
+	answer_clear(&refused);
+	thread = g_thread_new("caller", stream_once, &a);
+	sleep_ms(200);
+	g_assert_false(fleet_gateway_ready(fleet.ready[0]));
+	proc_signal(&fleet.store_proc, SIGCONT);
+	r = GPOINTER_TO_INT(g_thread_join(thread));
+	g_assert_true(fleet_whole_stream(&a, r));
+	answer_clear(&a);
+	fleet_stop();
+}
+
+static bool
+not_ready(void *ready)
+{
+	return !fleet_gateway_ready(ready);
 }
 
 /* SIGTERM: not ready at once, the stream under way ends whole, exit 0. */
@@ -405,6 +447,8 @@
 	g_test_add_func("/gateway/without_store", test_without_store);
 	g_test_add_func(
 	    "/gateway/starts_without_store", test_starts_without_store);
+	g_test_add_func(
+	    "/gateway/waits_for_deployment", test_waits_for_deployment);
 	g_test_add_func("/gateway/graceful_stop", test_graceful_stop);
 	g_test_add_func("/gateway/idle_callers", test_idle_callers);
 	g_test_add_func("/gateway/smuggling", test_smuggling);
