log: a budget of lines for each kind, and one for all

Cause: the bound was 50 lines a second of one logger, so that a flood of one kind hid all others of a gateway, and what was left out was told only if the same logger wrote again.

Now each message at a level has 50 lines a second, all but errors have 400 together, and a line of its own counts what was left out of each kind. Test: /log/budgets.

--- a/src/common/log.c
+++ b/src/common/log.c
@@ -9,6 +9,7 @@
 
 #include <bsd/string.h>
 #include <jansson.h>
+#include <uthash.h>
 
 #include "common/clock.h"
 
@@ -26,6 +27,17 @@
 	size_t count;
 };
 
+/* Lines of one message at one level; the messages are literals. */
+struct line_kind {
+	struct {
+		const char *msg;
+		enum log_level level;
+	} key;
+	int lines; /* in this window */
+	int64_t suppressed; /* in this window */
+	UT_hash_handle hh;
+};
+
 struct logger {
 	struct logger *parent;
 	const struct clock *clock;
@@ -33,9 +45,9 @@
 	char *area;
 	struct log_levels levels; /* of the root */
 	int fd;
-	int64_t window_start_us;
+	int64_t window_start_us; /* this and what follows: of the root */
 	int window_lines;
-	int64_t suppressed;
+	struct line_kind *kinds;
 };
 
 static const char *const level_names[] = { "error", "warn", "info", "debug" };
@@ -72,8 +84,14 @@
 void
 logger_destroy(struct logger *lg)
 {
+	struct line_kind *kind, *next;
+
 	if (lg == NULL)
 		return;
+	HASH_ITER(hh, lg->kinds, kind, next) {
+		HASH_DEL(lg->kinds, kind);
+		free(kind);
+	}
 	free(lg->process);
 	free(lg->area);
 	free(lg);
@@ -171,19 +189,6 @@
 	return -1;
 }
 
-static bool
-over_burst(struct logger *lg, int64_t now)
-{
-	if (now - lg->window_start_us >= USEC_PER_SEC) {
-		lg->window_start_us = now;
-		lg->window_lines = 0;
-	}
-	if (lg->window_lines++ < LOG_BURST)
-		return false;
-	lg->suppressed++;
-	return true;
-}
-
 static json_t *
 timestamp(const struct clock *clock)
 {
@@ -232,34 +237,100 @@
 	free(text);
 }
 
+static void
+write_fields(struct logger *root, enum log_level level, const char *area,
+    const char *msg, const struct log_field *fields)
+{
+	json_t *line = json_object();
+
+	json_object_set_new(line, "ts", timestamp(root->clock));
+	json_object_set_new(line, "level", json_string(level_names[level]));
+	json_object_set_new(line, "proc", json_string(root->process));
+	json_object_set_new(line, "area", json_string(area));
+	json_object_set_new(line, "msg", json_string(msg));
+	for (const struct log_field *f = fields; f->type != LOG_FIELD_END; f++)
+		add_field(line, f);
+	write_line(root->fd, line);
+	json_decref(line);
+}
+
+/* ---- budgets ---- */
+
+static void
+tell_suppressed(struct logger *root, const struct line_kind *kind)
+{
+	const struct log_field fields[] = { LF_S("of", kind->key.msg),
+		LF_S("at", level_names[kind->key.level]),
+		LF_I("count", kind->suppressed), { .type = LOG_FIELD_END } };
+
+	write_fields(
+	    root, LOG_LEVEL_WARN, root->area, "lines suppressed", fields);
+}
+
+static void
+start_window(struct logger *root, int64_t now)
+{
+	struct line_kind *kind, *next;
+
+	root->window_start_us = now;
+	root->window_lines = 0;
+	HASH_ITER(hh, root->kinds, kind, next) {
+		if (kind->suppressed > 0)
+			tell_suppressed(root, kind);
+		kind->suppressed = 0;
+		kind->lines = 0;
+	}
+}
+
+static struct line_kind *
+kind_of(struct logger *root, enum log_level level, const char *msg)
+{
+	struct line_kind *kind, like;
+
+	memset(&like, 0, sizeof(like));
+	like.key.msg = msg;
+	like.key.level = level;
+	HASH_FIND(hh, root->kinds, &like.key, sizeof(like.key), kind);
+	if (kind != NULL)
+		return kind;
+	kind = calloc(1, sizeof(*kind));
+	if (kind == NULL)
+		abort();
+	kind->key.msg = msg;
+	kind->key.level = level;
+	HASH_ADD(hh, root->kinds, key, sizeof(kind->key), kind);
+	return kind;
+}
+
+static bool
+over_budget(struct logger *root, enum log_level level, const char *msg)
+{
+	int64_t now = clock_now(root->clock);
+	struct line_kind *kind;
+
+	if (now - root->window_start_us >= USEC_PER_SEC)
+		start_window(root, now);
+	kind = kind_of(root, level, msg);
+	if (kind->lines < LOG_BURST &&
+	    (level == LOG_LEVEL_ERROR || root->window_lines < LOG_TOTAL)) {
+		kind->lines++;
+		root->window_lines++;
+		return false;
+	}
+	kind->suppressed++;
+	return true;
+}
+
 void
 logger_write(struct logger *lg, enum log_level level, const char *msg,
     const struct log_field *fields)
 {
 	struct logger *root;
-	json_t *line;
 
 	if (lg == NULL)
 		return;
 	root = root_of(lg);
-	if (level > level_of(root, lg->area))
+	if (level > level_of(root, lg->area) || over_budget(root, level, msg))
 		return;
-	if (level > LOG_LEVEL_ERROR && over_burst(lg, clock_now(lg->clock)))
-		return;
-
-	line = json_object();
-	json_object_set_new(line, "ts", timestamp(lg->clock));
-	json_object_set_new(line, "level", json_string(level_names[level]));
-	json_object_set_new(line, "proc", json_string(root->process));
-	json_object_set_new(line, "area", json_string(lg->area));
-	json_object_set_new(line, "msg", json_string(msg));
-	for (const struct log_field *f = fields; f->type != LOG_FIELD_END; f++)
-		add_field(line, f);
-	if (lg->suppressed > 0) {
-		json_object_set_new(
-		    line, "suppressed", json_integer(lg->suppressed));
-		lg->suppressed = 0;
-	}
-	write_line(root->fd, line);
-	json_decref(line);
+	write_fields(root, level, lg->area, msg, fields);
 }
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -6,8 +6,11 @@
  *	log_info(logger, "replica loaded", LF_S("model", name), LF_I("ms", 12));
  *
  * A child logger shares its parent's output and level and names its own area.
- * Repeats of one message from one logger beyond LOG_BURST in a second are
- * counted and reported in the next line that passes.
+ * Each kind of line, that is a message at a level, has a budget of LOG_BURST
+ * lines a second, so that no kind hides another; all kinds but errors have one
+ * of LOG_TOTAL, so that a flood of requests costs a small VM little.  What is
+ * beyond is counted and told once the second is over, in a line "lines
+ * suppressed" of its own.
  */
 #ifndef COMMON_LOG_H
 #define COMMON_LOG_H
@@ -15,7 +18,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define LOG_BURST 50
+#define LOG_BURST 50 /* lines a second of one kind */
+#define LOG_TOTAL 400 /* lines a second of all kinds but errors */
 
 struct clock;
 struct logger;
--- a/test/unit/test_log.c
+++ b/test/unit/test_log.c
@@ -48,11 +48,59 @@
 	g_assert_true(log_levels_valid("info,a=warn,b=debug"));
 }
 
+static unsigned
+occurrences(const char *text, const char *what)
+{
+	unsigned n = 0;
+
+	while ((text = strstr(text, what)) != NULL) {
+		text += strlen(what);
+		n++;
+	}
+	return n;
+}
+
+/* A flood of one kind is cut down and counted, and hides no other kind. */
+static void
+test_budgets(void)
+{
+	struct clock *clock = clock_create_manual(1000000);
+	struct logger_options opts = {
+		.clock = clock, .process = "vm-1", .level = LOG_LEVEL_INFO
+	};
+	char buf[65536] = { 0 };
+	struct logger *lg;
+	int fds[2];
+
+	g_assert_cmpint(pipe(fds), ==, 0);
+	opts.fd = fds[1];
+	lg = logger_create(&opts);
+	for (int i = 0; i < LOG_BURST + 7; i++)
+		log_info(lg, "often");
+	log_info(lg, "rare");
+	log_error(lg, "often");
+	clock_advance(clock, 1000000);
+	log_info(lg, "often");
+	close(fds[1]);
+	g_assert_cmpint(read(fds[0], buf, sizeof(buf) - 1), >, 0);
+	g_assert_cmpuint(
+	    occurrences(buf, "\"msg\":\"often\""), ==, LOG_BURST + 2);
+	g_assert_cmpuint(occurrences(buf, "\"msg\":\"rare\""), ==, 1);
+	g_assert_cmpuint(
+	    occurrences(buf, "\"msg\":\"lines suppressed\",\"of\":\"often\","
+			     "\"at\":\"info\",\"count\":7"),
+	    ==, 1);
+	close(fds[0]);
+	logger_destroy(lg);
+	clock_destroy(clock);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/log/levels", test_levels);
 	g_test_add_func("/log/bad_levels", test_bad_levels);
+	g_test_add_func("/log/budgets", test_budgets);
 	return g_test_run();
 }
