--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -46,13 +46,13 @@
 	local load rank base
 	start_user markisen
 	run bench/warm.json warm
-	echo "| load | rank | sent | answered | not run | whole answer p99 ms | over no flood |"
-	echo "|---|---|---|---|---|---|---|"
+	echo "| load | rank | sent | answered | not run | unknown | broken off | whole answer p99 ms | over no flood |"
+	echo "|---|---|---|---|---|---|---|---|---|"
 	for load in flood-none flood-draft flood-urgent; do
 		run "bench/$load.json" "$load"
 		for rank in urgent standard draft; do
 			base=$(figure "$out/flood-none.json" $rank whole_ms p99)
-			echo "| $load | $rank | $(figure "$out/$load.json" $rank sent) | $(figure "$out/$load.json" $rank answered) | $(figure "$out/$load.json" $rank not_run) | $(figure "$out/$load.json" $rank whole_ms p99) | $(ratio "$base" "$(figure "$out/$load.json" $rank whole_ms p99)") |"
+			echo "| $load | $rank | $(figure "$out/$load.json" $rank sent) | $(figure "$out/$load.json" $rank answered) | $(figure "$out/$load.json" $rank not_run) | $(figure "$out/$load.json" $rank unknown) | $(figure "$out/$load.json" $rank broken) | $(figure "$out/$load.json" $rank whole_ms p99) | $(ratio "$base" "$(figure "$out/$load.json" $rank whole_ms p99)") |"
 		done
 	done
 	stop_all
