sidecar: what a replica holds is told when gateways would choose otherwise

A gateway counts the rest on by itself; the sidecar tells steps of four times. Models that come or go, and all to gateways whose requests wait there, are told at once; other changes at most five times a second. A gateway expects a load that is late to take a while longer.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -15,6 +15,8 @@
 #include "state/deployment.h"
 #include "transport/http_client.h"
 
+/* A load that takes longer than expected: one part in so many is still left. */
+#define LOAD_LATE_SHARE 4
 #define MAX_IDLE_CONNECTIONS 48 /* a burst's worth for one replica */
 #define CONNECT_TIMEOUT_US                                                     \
 	(400 * USEC_PER_MSEC) /* a round trip takes 10 ms                      \
@@ -176,7 +178,7 @@
 	b->listed = true;
 	b->listed_us = clock_now(g->process.clock);
 	b->slowness = 1;
-	b->victim_idle_us = -1;
+	b->victim_since_us = -1;
 	b->doubt_until_us = b->listed_us + DOUBT_NEW_US;
 	SLIST_INIT(&b->uses);
 	TAILQ_INSERT_TAIL(&all->list, b, link);
@@ -375,6 +377,24 @@
 	return false;
 }
 
+/* Of the load under way; one that is late is not about to end. */
+static int64_t
+loading_left_us(const struct backend *b, int64_t now_us)
+{
+	int64_t left = b->loading_until_us - now_us;
+	int64_t late = (now_us - b->loading_since_us) / LOAD_LATE_SHARE;
+
+	if (b->loading[0] == '\0')
+		return 0;
+	return left > late ? left : late;
+}
+
+int64_t
+backend_victim_idle_us(const struct backend *b, int64_t now_us)
+{
+	return b->victim_since_us < 0 ? -1 : now_us - b->victim_since_us;
+}
+
 int64_t
 backend_load_us(const struct backend *b, const struct model_spec *spec,
     const char *model, const char *adapter, int64_t now_us)
@@ -391,15 +411,10 @@
 	if (b->conn == NULL || spec == NULL)
 		return SELECT_LOAD_NEVER; /* nobody there gives orders */
 	if (m != NULL) /* one order at a time */
-		return extra + (b->loading_until_us > now_us
-				       ? b->loading_until_us - now_us
-				       : 0);
+		return extra + loading_left_us(b, now_us);
 	if (strcmp(b->loading, model) == 0)
-		return (b->loading_until_us > now_us
-			       ? b->loading_until_us - now_us
-			       : 0) +
-		       extra + 1;
-	if (b->free_mb < spec->size_mb && b->victim_idle_us < 0)
+		return loading_left_us(b, now_us) + extra + 1;
+	if (b->free_mb < spec->size_mb && b->victim_since_us < 0)
 		return SELECT_LOAD_NEVER;
 	if (has_copy(&s->in_memory, model))
 		us = spec->load_memory_us;
@@ -409,9 +424,7 @@
 		us = spec->load_remote_us;
 	if (b->free_mb < spec->size_mb)
 		us += UNLOAD_US;
-	if (b->loading_until_us > now_us) /* one order at a time */
-		us += b->loading_until_us - now_us;
-	return us + extra;
+	return us + loading_left_us(b, now_us) + extra; /* one at a time */
 }
 
 void
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -54,9 +54,10 @@
 	uint64_t gate_tokens; /* of prompts that wait at the sidecar */
 	double reading_share; /* of the time, lately */
 	char loading[FLEET_NAME_MAX];
+	int64_t loading_since_us;
 	int64_t loading_until_us;
 	double free_mb;
-	int64_t victim_idle_us;
+	int64_t victim_since_us; /* last use of what a load evicts; -1: none */
 	/* The connection to the sidecar: */
 	struct rpc_conn *conn;
 	bool connecting;
@@ -95,6 +96,9 @@
 int64_t backend_load_us(const struct backend *, const struct model_spec *,
     const char *model, const char *adapter, int64_t now_us);
 
+/* Idle time of what a load would evict; -1: nothing may be evicted. */
+int64_t backend_victim_idle_us(const struct backend *, int64_t now_us);
+
 /* Whether the model is loaded there, or in its memory or on its disk. */
 bool backend_has_copy(const struct backend *, const char *model);
 
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -90,8 +90,9 @@
 			 : -1;
 	if (terms->model[0] == '\0')
 		return;
-	r->victim_idle_us =
-	    backend_has_room(b, spec) ? INT64_MAX : b->victim_idle_us;
+	r->victim_idle_us = backend_has_room(b, spec)
+				? INT64_MAX
+				: backend_victim_idle_us(b, now);
 	r->load_us =
 	    backend_load_us(b, spec, terms->model, terms->adapter, now);
 }
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -134,11 +134,13 @@
 		    LF_S("replica", b->entry.id),
 		    LF_I("gone_in_us", told->gone_in_us));
 	}
+	if (strcmp(b->loading, told->loading) != 0)
+		b->loading_since_us = now;
 	strlcpy(b->loading, told->loading, sizeof(b->loading));
-	b->loading_until_us =
-	    told->loading[0] == '\0' ? 0 : now + told->loading_left_us;
+	b->loading_until_us = now + told->loading_left_us;
 	b->free_mb = told->free_mb;
-	b->victim_idle_us = told->victim_idle_us;
+	b->victim_since_us =
+	    told->victim_idle_us < 0 ? -1 : now - told->victim_idle_us;
 	note_gateways(l, told->gateways);
 	exchanges_review(l->gateway);
 }
@@ -209,7 +211,6 @@
 	b->conn = NULL;
 	b->has_report = false;
 	b->loading[0] = '\0';
-	b->loading_until_us = 0;
 	b->reconnect_us = clock_now(l->gateway->process.clock) + RECONNECT_US;
 }
 
--- a/src/sidecar/peers.c
+++ b/src/sidecar/peers.c
@@ -22,8 +22,11 @@
 #define STALL_US (3 * USEC_PER_SEC)
 #define DEAD_PEER_US (3 * USEC_PER_SEC)
 #define LOAD_PAUSE_US (250 * USEC_PER_MSEC) /* between two load messages */
-/* The victim's idle time grows all the while: told in such steps. */
-#define IDLE_STEP_US (4 * USEC_PER_SEC)
+/* Steps in which the idle time of what would be evicted is told. */
+#define IDLE_FIRST_US (1 * USEC_PER_SEC)
+#define IDLE_FACTOR 4
+/* Changes of adapters and loads come in series of some milliseconds each. */
+#define HOLDS_PAUSE_US (200 * USEC_PER_MSEC)
 /* Most peers have had another message by then, which shows the version too. */
 #define TELL_VERSION_US (300 * USEC_PER_MSEC)
 /* Three pieces of a prompt: streams of five tokens an event stay below 600 ms.
@@ -48,7 +51,10 @@
 struct peer {
 	struct rpc_conn *conn;
 	int64_t sent_us; /* the last message to it */
-	bool told; /* it has what the replica holds */
+	uint64_t told_hash; /* of what it was told that the replica holds */
+	uint64_t told_models; /* likewise, of the models only; 0: nothing */
+	int64_t told_us;
+	int64_t wants_until_us; /* its requests wait for a load until then */
 	struct peer_use uses[USES_MAX];
 	unsigned use_count;
 	TAILQ_ENTRY(peer) link;
@@ -78,7 +84,6 @@
 	struct rpc *rpc;
 	unsigned count;
 	struct read_gate *gate;
-	uint64_t holds_hash;
 	struct tm_replica_load load; /* as told last */
 	int64_t load_us;
 	uint64_t version; /* of the deployment */
@@ -167,7 +172,7 @@
 		steering_use(ps->sidecar->steering, u,
 		    in_flight_of_all(ps, u->model, u->adapter));
 	}
-	if (!p->told)
+	if (p->told_models == 0)
 		peers_tell(ps);
 }
 
@@ -176,8 +181,14 @@
 {
 	struct peers *ps = ctx;
 
-	if (peer_of(ps, call) != NULL)
-		steering_want(ps->sidecar->steering, arg);
+	const struct tm_replica_want *told = arg;
+	struct peer *p = peer_of(ps, call);
+
+	if (p == NULL)
+		return;
+	p->wants_until_us =
+	    clock_now(ps->sidecar->process.clock) + told->left_us;
+	steering_want(ps->sidecar->steering, told);
 }
 
 /* ---- leave to read prompts ---- */
@@ -284,6 +295,19 @@
 	m->msg.models.models_len = m->state.model_count;
 }
 
+/* Gateways count on by themselves: 0, 1, 4, 16 .. s are enough. */
+static int64_t
+idle_step(int64_t idle_us)
+{
+	int64_t step = IDLE_FIRST_US;
+
+	if (idle_us < IDLE_FIRST_US)
+		return idle_us < 0 ? -1 : 0;
+	while (step * IDLE_FACTOR <= idle_us)
+		step *= IDLE_FACTOR;
+	return step;
+}
+
 static void
 fill_holds(struct peers *ps, struct holds_message *m)
 {
@@ -314,8 +338,34 @@
 	m->msg.loading_left_us = left_us;
 	m->msg.free_mb = steering_free_mb(s);
 	idle_us = steering_victim_idle_us(s);
-	m->msg.victim_idle_us =
-	    idle_us < 0 ? -1 : idle_us / IDLE_STEP_US * IDLE_STEP_US;
+	m->msg.victim_idle_us = idle_step(idle_us);
+}
+
+/* Never 0. */
+static uint64_t
+hash_models(const struct replica_state *s)
+{
+	uint64_t hash = (uint64_t)s->born_ms + s->draining;
+
+	for (unsigned i = 0; i < s->model_count; i++)
+		hash = XXH3_64bits_withSeed(
+		    s->models[i].name, strlen(s->models[i].name), hash);
+	return hash == 0 ? 1 : hash;
+}
+
+/*
+ * A model that came or went is told at once, and all to those whose requests
+ * wait for it; other changes come in series and are told together.
+ */
+static bool
+holds_due(const struct peer *p, uint64_t hash, uint64_t models, int64_t now)
+{
+	if (p->told_models == 0)
+		return true;
+	if (p->told_hash == hash)
+		return false;
+	return p->told_models != models || now < p->wants_until_us ||
+	       now - p->told_us >= HOLDS_PAUSE_US;
 }
 
 /* Of all fields that are worth a message when they change. */
@@ -331,7 +381,13 @@
 	XXH3_64bits_reset(h);
 	XXH3_64bits_update(h, &s->born_ms, sizeof(s->born_ms));
 	XXH3_64bits_update(h, &s->draining, sizeof(s->draining));
-	XXH3_64bits_update(h, s->models, sizeof(s->models));
+	for (unsigned i = 0; i < s->model_count; i++) {
+		const struct held_model *held = &s->models[i];
+
+		XXH3_64bits_update(h, held->name, sizeof(held->name));
+		XXH3_64bits_update(h, held->adapters,
+		    held->adapter_count * sizeof(held->adapters[0]));
+	}
 	XXH3_64bits_update(h, &s->in_memory, sizeof(s->in_memory));
 	XXH3_64bits_update(h, &s->on_disk, sizeof(s->on_disk));
 	XXH3_64bits_update(h, m->msg.loading, strlen(m->msg.loading));
@@ -346,19 +402,22 @@
 tell_holds(struct peers *ps)
 {
 	static struct holds_message m;
-	uint64_t hash;
+	int64_t now = clock_now(ps->sidecar->process.clock);
+	uint64_t hash, models;
 	struct peer *p;
 
 	fill_holds(ps, &m);
 	hash = hash_holds(&m);
+	models = hash_models(&m.state);
 	TAILQ_FOREACH(p, &ps->list, link) {
-		if (p->told && hash == ps->holds_hash)
+		if (!holds_due(p, hash, models, now) ||
+		    rpc_conn_send(p->conn, TM_REPLICA_HOLDS,
+			(xdrproc_t)xdr_tm_replica_holds, &m.msg) == -1)
 			continue;
-		if (rpc_conn_send(p->conn, TM_REPLICA_HOLDS,
-			(xdrproc_t)xdr_tm_replica_holds, &m.msg) == 0)
-			p->told = true;
+		p->told_hash = hash;
+		p->told_models = models;
+		p->told_us = now;
 	}
-	ps->holds_hash = hash;
 }
 
 static void
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -27,8 +27,6 @@
 #define READING_WINDOW_US (2 * USEC_PER_SEC)
 /* A report tells of an order at the latest so long after it was accepted. */
 #define REPORT_LATE_US (1 * USEC_PER_SEC)
-/* A load that takes longer than expected: one part in so many is still left. */
-#define LATE_SHARE 4
 #define WANTS_MAX 128
 #define FENCE 1 /* one holder only: this machine, whatever process runs */
 #define KEY_SIZE (2 * FLEET_NAME_MAX + 2)
@@ -636,9 +634,6 @@
 {
 	int64_t now = clock_now(s->sidecar->process.clock);
 
-	*left_us = s->loading_until_us - now;
-	/* One that is late is not about to end. */
-	if (*left_us < (now - s->loading_since_us) / LATE_SHARE)
-		*left_us = (now - s->loading_since_us) / LATE_SHARE;
+	*left_us = s->loading_until_us > now ? s->loading_until_us - now : 0;
 	return s->loading[0] == '\0' ? NULL : s->loading;
 }
