http_client: connections and calls in files of their own

http_client.c (743 lines) held both. http_client_conn.c knows how a call ends and reads answers; http_client.c starts calls over it. No change of behaviour: /http_client/* pass unchanged.

--- /dev/null
+++ b/src/transport/http_client_conn.c
@@ -0,0 +1,446 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include "transport/http_client_internal.h"
+#include "transport/socket.h"
+#include "transport/tls.h"
+
+/* Leaves a kept connection before the server's own time-out closes it. */
+#define KEEP_ALIVE_MARGIN_US 1000000
+
+struct timeval
+http_timeval(int64_t us)
+{
+	struct timeval tv = { us / 1000000, us % 1000000 };
+
+	return tv;
+}
+
+/* ---- connections ---- */
+
+static void
+conn_free(struct http_conn *c)
+{
+	if (c->bev != NULL)
+		bufferevent_free(c->bev);
+	if (c->timer != NULL)
+		event_free(c->timer);
+	evhttp_clear_headers(&c->headers);
+	free(c->value);
+	free(c);
+}
+
+void
+http_conn_close(struct http_conn *c)
+{
+	struct http_client *client = c->client;
+
+	if (c->dead)
+		return;
+	c->dead = true;
+	if (c->call != NULL || !c->connected)
+		TAILQ_REMOVE(&client->busy, c, link);
+	else
+		TAILQ_REMOVE(&client->idle, c, link);
+	if (c->call == NULL && c->connected)
+		client->idle_count--;
+	if (c->call != NULL)
+		c->call->conn = NULL;
+	c->call = NULL;
+	client->open--;
+	bufferevent_free(c->bev);
+	c->bev = NULL;
+	event_del(c->timer);
+	TAILQ_INSERT_TAIL(&client->dead_conns, c, link);
+	event_active(client->reaper, 0, 0);
+}
+
+static void
+call_free(struct http_call *call)
+{
+	if (call->timer != NULL)
+		event_free(call->timer);
+	if (call->failer != NULL)
+		event_free(call->failer);
+	if (call->opts.on_drop != NULL)
+		call->opts.on_drop(call->opts.ctx);
+	evbuffer_free(call->body);
+	free(call);
+}
+
+void
+http_client_reap(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_client *client = arg;
+	struct http_call *call;
+	struct http_conn *c;
+
+	while ((call = TAILQ_FIRST(&client->dead_calls)) != NULL) {
+		TAILQ_REMOVE(&client->dead_calls, call, link);
+		call_free(call);
+	}
+	while ((c = TAILQ_FIRST(&client->dead_conns)) != NULL) {
+		TAILQ_REMOVE(&client->dead_conns, c, link);
+		conn_free(c);
+	}
+}
+
+void
+http_call_retire(struct http_call *call)
+{
+	struct http_client *client = call->client;
+
+	call->ended = true;
+	if (call->timer != NULL)
+		event_del(call->timer);
+	TAILQ_REMOVE(&client->calls, call, link);
+	TAILQ_INSERT_TAIL(&client->dead_calls, call, link);
+	event_active(client->reaper, 0, 0);
+}
+
+static void
+finish(struct http_call *call, const struct http_response *resp)
+{
+	if (call->ended)
+		return;
+	http_call_retire(call);
+	call->opts.on_drop = NULL;
+	call->opts.on_done(call->opts.ctx, resp);
+}
+
+void
+http_call_failed(struct http_call *call, enum http_call_status status)
+{
+	struct http_response resp = { .status = status };
+
+	if (call->conn != NULL)
+		http_conn_close(call->conn);
+	finish(call, &resp);
+}
+
+/* The connection ended or spoke no HTTP. */
+static void
+conn_failed(struct http_conn *c)
+{
+	struct http_call *call = c->call;
+	enum http_call_status status =
+	    c->connected ? HTTP_CALL_FAILED : HTTP_CALL_NOT_SENT;
+
+	http_conn_close(c);
+	if (call != NULL)
+		http_call_failed(call, status);
+}
+
+static int64_t
+keep_alive_us(const struct http_conn *c)
+{
+	struct evkeyvalq *headers = (struct evkeyvalq *)&c->headers;
+	const char *value = evhttp_find_header(headers, "Keep-Alive");
+	int64_t us = c->client->opts.idle_timeout_us;
+	const char *at = value == NULL ? NULL : strstr(value, "timeout=");
+	int64_t told;
+
+	if (at == NULL)
+		return us;
+	told = strtoll(at + strlen("timeout="), NULL, 10) * 1000000 -
+	       KEEP_ALIVE_MARGIN_US;
+	if (told <= 0)
+		return 1;
+	return us == 0 || told < us ? told : us;
+}
+
+static bool
+may_keep(const struct http_conn *c)
+{
+	return http_should_keep_alive(&c->parser) && !c->call->fresh &&
+	       c->client->idle_count < c->client->opts.max_idle &&
+	       evbuffer_get_length(bufferevent_get_input(c->bev)) == 0;
+}
+
+/* Detaches the answered call; keeps the connection where it may be used again.
+ */
+static void
+conn_release(struct http_conn *c)
+{
+	struct http_client *client = c->client;
+	int64_t idle_us = keep_alive_us(c);
+	struct timeval tv = http_timeval(idle_us);
+
+	if (!may_keep(c) || idle_us == 1) {
+		http_conn_close(c);
+		return;
+	}
+	c->call->conn = NULL;
+	c->call = NULL;
+	c->complete = false;
+	TAILQ_REMOVE(&client->busy, c, link);
+	TAILQ_INSERT_HEAD(&client->idle, c, link);
+	client->idle_count++;
+	if (idle_us > 0)
+		event_add(c->timer, &tv);
+}
+
+/* ---- the parser's callbacks: a non-zero return stops it ---- */
+
+static int
+on_message_begin(http_parser *parser)
+{
+	struct http_conn *c = parser->data;
+
+	evhttp_clear_headers(&c->headers);
+	c->skipping = false;
+	c->in_value = false;
+	c->name_len = 0;
+	c->value_len = 0;
+	return 0;
+}
+
+static void
+store_header(struct http_conn *c)
+{
+	if (c->in_value && c->name_len > 0) {
+		c->value[c->value_len] = '\0';
+		evhttp_add_header(&c->headers, c->name, c->value);
+	}
+	c->in_value = false;
+	c->name_len = 0;
+	c->value_len = 0;
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t len)
+{
+	struct http_conn *c = parser->data;
+
+	if (c->in_value)
+		store_header(c);
+	if (c->name_len + len >= HEADER_NAME_MAX)
+		return -1;
+	memcpy(c->name + c->name_len, at, len);
+	c->name_len += len;
+	c->name[c->name_len] = '\0';
+	return 0;
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t len)
+{
+	struct http_conn *c = parser->data;
+
+	c->in_value = true;
+	if (c->value_len + len >= HEADER_VALUE_MAX)
+		return -1;
+	memcpy(c->value + c->value_len, at, len);
+	c->value_len += len;
+	return 0;
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+	struct http_conn *c = parser->data;
+	struct http_call *call = c->call;
+
+	store_header(c);
+	if (call == NULL)
+		return -1;
+	if (parser->status_code < 200)
+		return 0;
+	if (call->opts.on_head != NULL &&
+	    call->opts.on_head(call->opts.ctx, parser->status_code,
+		&c->headers) == HTTP_HEAD_SKIP)
+		c->skipping = true;
+	if (c->dead)
+		return -1;
+	call->code = parser->status_code;
+	return call->is_head ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct http_conn *c = parser->data;
+	size_t max = c->client->opts.max_body;
+
+	if (c->skipping)
+		return 0;
+	evbuffer_add(c->call->body, at, len);
+	return max != 0 && evbuffer_get_length(c->call->body) > max ? -1 : 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+	struct http_conn *c = parser->data;
+
+	if (parser->status_code < 200 || c->skipping)
+		return 0;
+	c->complete = true;
+	/* Bytes behind the answer stay unread; they cost the connection. */
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_message_begin,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+/* ---- reading ---- */
+
+static void
+deliver_chunk(struct http_conn *c)
+{
+	struct http_call *call = c->call;
+
+	if (call != NULL && call->opts.on_chunk != NULL && !call->ended &&
+	    evbuffer_get_length(call->body) > 0)
+		call->opts.on_chunk(call->opts.ctx, call->body);
+}
+
+static void
+conn_answered(struct http_conn *c)
+{
+	struct http_call *call = c->call;
+	struct http_response resp = {
+		.status = HTTP_CALL_OK,
+		.code = call->code,
+		.body = call->body,
+	};
+	struct evkeyvalq headers;
+	struct evkeyval *h;
+
+	http_parser_pause(&c->parser, 0);
+	/* The connection may be gone before on_done() reads them. */
+	TAILQ_INIT(&headers);
+	TAILQ_FOREACH(h, &c->headers, next)
+		evhttp_add_header(&headers, h->key, h->value);
+	resp.headers = &headers;
+	conn_release(c);
+	finish(call, &resp);
+	evhttp_clear_headers(&headers);
+}
+
+/* Feeds the parser; len 0 tells it that the connection ended. */
+static void
+parse(struct http_conn *c, const char *data, size_t len)
+{
+	size_t used =
+	    http_parser_execute(&c->parser, &parser_settings, data, len);
+	enum http_errno err = HTTP_PARSER_ERRNO(&c->parser);
+
+	if (c->dead)
+		return;
+	if (len > 0)
+		evbuffer_drain(bufferevent_get_input(c->bev), used);
+	if (err != HPE_OK && err != HPE_PAUSED) {
+		deliver_chunk(c);
+		if (!c->dead)
+			conn_failed(c);
+		return;
+	}
+	deliver_chunk(c);
+	if (!c->dead && c->complete)
+		conn_answered(c);
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct http_conn *c = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t len = evbuffer_get_length(in);
+
+	if (c->dead || len == 0)
+		return;
+	if (c->call == NULL) {
+		http_conn_close(c); /* bytes that answer nothing */
+		return;
+	}
+	parse(c, (const char *)evbuffer_pullup(in, -1), len);
+}
+
+static void
+on_connected(struct http_conn *c)
+{
+	int fd = bufferevent_getfd(c->bev);
+
+	c->connected = true;
+	event_del(c->timer);
+	tls_set_nodelay(fd);
+	socket_set_dead_peer(fd, c->client->opts.dead_peer_us);
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct http_conn *c = arg;
+
+	if (c->dead)
+		return;
+	if (what & BEV_EVENT_CONNECTED) {
+		on_connected(c);
+		return;
+	}
+	if (c->call == NULL) {
+		http_conn_close(c);
+		return;
+	}
+	if ((what & BEV_EVENT_EOF) && c->connected) {
+		/* A body without a length ends here, and is whole. */
+		parse(c, NULL, 0);
+		if (c->dead)
+			return;
+	}
+	conn_failed(c);
+}
+
+/* Connecting or idling took too long. */
+static void
+on_conn_timer(evutil_socket_t fd, short what, void *arg)
+{
+	conn_failed(arg);
+}
+
+struct http_conn *
+http_conn_open(struct http_client *client)
+{
+	struct http_conn *c = calloc(1, sizeof(*c));
+	struct timeval tv = http_timeval(client->opts.connect_timeout_us);
+
+	if (c == NULL)
+		abort();
+	c->client = client;
+	TAILQ_INIT(&c->headers);
+	c->value = malloc(HEADER_VALUE_MAX);
+	c->timer = evtimer_new(client->opts.base, on_conn_timer, c);
+	c->bev = tls_bufferevent(
+	    client->opts.tls, TLS_HTTP, client->opts.base, -1, true);
+	if (c->value == NULL || c->timer == NULL || c->bev == NULL) {
+		conn_free(c);
+		return NULL;
+	}
+	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	client->open++;
+	TAILQ_INSERT_TAIL(&client->busy, c, link);
+	if (bufferevent_socket_connect_hostname(c->bev, NULL, AF_UNSPEC,
+		client->addr.host, client->addr.port) == -1 &&
+	    !c->dead)
+		http_conn_close(c);
+	if (c->dead)
+		return NULL;
+	if (client->opts.connect_timeout_us > 0)
+		event_add(c->timer, &tv);
+	return c;
+}
