--- a/src/coordination/swap.c
+++ b/src/coordination/swap.c
@@ -2,6 +2,12 @@
 
 #include <string.h>
 
+#include "common/clock.h"
+
+/* Steps of the idle time that others are told: 0, 1, 2, 4 .. s. */
+#define IDLE_FIRST_US (1 * USEC_PER_SEC)
+#define IDLE_FACTOR 2
+
 static const struct swap_model *
 held(const struct swap_input *in, const char *name)
 {
@@ -73,6 +79,29 @@
 	return victim;
 }
 
+int64_t
+swap_idle_step(int64_t idle_us)
+{
+	int64_t step = IDLE_FIRST_US;
+
+	if (idle_us < IDLE_FIRST_US)
+		return idle_us < 0 ? -1 : 0;
+	while (step * IDLE_FACTOR <= idle_us)
+		step *= IDLE_FACTOR;
+	return step;
+}
+
+int64_t
+swap_idle_now(int64_t step_us, int64_t since_told_us)
+{
+	int64_t most = step_us == 0 ? IDLE_FIRST_US : step_us * IDLE_FACTOR;
+
+	if (step_us < 0)
+		return -1;
+	/* Beyond, the next step would have been told. */
+	return step_us + since_told_us < most ? step_us + since_told_us : most;
+}
+
 static struct swap_step
 step(enum swap_op op, const char *model, const char *adapter)
 {
--- a/src/coordination/swap.h
+++ b/src/coordination/swap.h
@@ -77,4 +77,12 @@
 /* The model that would make way; NULL if none may. */
 const struct swap_model *swap_victim(const struct swap_input *);
 
+/*
+ * Its idle time as others are told of it: in steps, so that they need not hear
+ * of each moment.  -1: none may make way.
+ */
+int64_t swap_idle_step(int64_t idle_us);
+/* The idle time some time after a step was told, and none since. */
+int64_t swap_idle_now(int64_t step_us, int64_t since_told_us);
+
 #endif
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -1,3 +1,4 @@
+#include "coordination/swap.h"
 #include "gateway/backends.h"
 
 #include <stdio.h>
@@ -178,7 +179,7 @@
 	b->listed = true;
 	b->listed_us = clock_now(g->process.clock);
 	b->slowness = 1;
-	b->victim_since_us = -1;
+	b->victim_idle_us = -1;
 	b->doubt_until_us = b->listed_us + DOUBT_NEW_US;
 	SLIST_INIT(&b->uses);
 	TAILQ_INSERT_TAIL(&all->list, b, link);
@@ -392,7 +393,7 @@
 int64_t
 backend_victim_idle_us(const struct backend *b, int64_t now_us)
 {
-	return b->victim_since_us < 0 ? -1 : now_us - b->victim_since_us;
+	return swap_idle_now(b->victim_idle_us, now_us - b->victim_told_us);
 }
 
 int64_t
@@ -414,7 +415,7 @@
 		return extra + loading_left_us(b, now_us);
 	if (strcmp(b->loading, model) == 0)
 		return loading_left_us(b, now_us) + extra + 1;
-	if (b->free_mb < spec->size_mb && b->victim_since_us < 0)
+	if (b->free_mb < spec->size_mb && b->victim_idle_us < 0)
 		return SELECT_LOAD_NEVER;
 	if (has_copy(&s->in_memory, model))
 		us = spec->load_memory_us;
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -57,7 +57,8 @@
 	int64_t loading_since_us;
 	int64_t loading_until_us;
 	double free_mb;
-	int64_t victim_since_us; /* last use of what a load evicts; -1: none */
+	int64_t victim_idle_us; /* of what a load evicts; -1: none; as told */
+	int64_t victim_told_us;
 	/* The connection to the sidecar: */
 	struct rpc_conn *conn;
 	bool connecting;
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -139,8 +139,8 @@
 	strlcpy(b->loading, told->loading, sizeof(b->loading));
 	b->loading_until_us = now + told->loading_left_us;
 	b->free_mb = told->free_mb;
-	b->victim_since_us =
-	    told->victim_idle_us < 0 ? -1 : now - told->victim_idle_us;
+	b->victim_idle_us = told->victim_idle_us;
+	b->victim_told_us = now;
 	note_gateways(l, told->gateways);
 	exchanges_review(l->gateway);
 }
--- a/src/sidecar/peers.c
+++ b/src/sidecar/peers.c
@@ -11,6 +11,7 @@
 #include "common/log.h"
 #include "coordination/deployment_share.h"
 #include "coordination/read_gate.h"
+#include "coordination/swap.h"
 #include "protocol/tm_xdr.h"
 #include "sidecar/sidecar_internal.h"
 #include "sidecar/steering.h"
@@ -22,9 +23,6 @@
 #define STALL_US (3 * USEC_PER_SEC)
 #define DEAD_PEER_US (3 * USEC_PER_SEC)
 #define LOAD_PAUSE_US (250 * USEC_PER_MSEC) /* between two load messages */
-/* Steps in which the idle time of what would be evicted is told. */
-#define IDLE_FIRST_US (1 * USEC_PER_SEC)
-#define IDLE_FACTOR 4
 /* Changes of adapters and loads come in series of some milliseconds each. */
 #define HOLDS_PAUSE_US (200 * USEC_PER_MSEC)
 /* Most peers have had another message by then, which shows the version too. */
@@ -295,19 +293,6 @@
 	m->msg.models.models_len = m->state.model_count;
 }
 
-/* Gateways count on by themselves: 0, 1, 4, 16 .. s are enough. */
-static int64_t
-idle_step(int64_t idle_us)
-{
-	int64_t step = IDLE_FIRST_US;
-
-	if (idle_us < IDLE_FIRST_US)
-		return idle_us < 0 ? -1 : 0;
-	while (step * IDLE_FACTOR <= idle_us)
-		step *= IDLE_FACTOR;
-	return step;
-}
-
 static void
 fill_holds(struct peers *ps, struct holds_message *m)
 {
@@ -338,7 +323,7 @@
 	m->msg.loading_left_us = left_us;
 	m->msg.free_mb = steering_free_mb(s);
 	idle_us = steering_victim_idle_us(s);
-	m->msg.victim_idle_us = idle_step(idle_us);
+	m->msg.victim_idle_us = swap_idle_step(idle_us);
 }
 
 /* Never 0. */
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -371,6 +371,34 @@
 	g_assert_cmpint(swap_next(&in, &ask).op, ==, SWAP_NONE);
 }
 
+/* Who is told of steps only is never more than a step off. */
+static void
+test_swap_idle_steps(void)
+{
+	int64_t told = -1, told_us = 0;
+	unsigned messages = 0;
+
+	g_assert_cmpint(swap_idle_step(-1), ==, -1);
+	g_assert_cmpint(swap_idle_now(-1, 1000000), ==, -1);
+	for (int64_t now = 0; now < 60 * USEC_PER_SEC; now += 100000) {
+		/* Used now and then for 10 s, and then no more. */
+		int64_t idle = now < 10 * USEC_PER_SEC
+				   ? now % 700000
+				   : now - 10 * USEC_PER_SEC;
+		int64_t step = swap_idle_step(idle), seen;
+
+		if (step != told) {
+			told = step;
+			told_us = now;
+			messages++;
+		}
+		seen = swap_idle_now(told, now - told_us);
+		g_assert_cmpint(seen, <=, 2 * idle + USEC_PER_SEC);
+		g_assert_cmpint(2 * seen + USEC_PER_SEC, >=, idle);
+	}
+	g_assert_cmpuint(messages, <=, 7);
+}
+
 static void
 test_swap_order_of_wants(void)
 {
@@ -598,6 +626,7 @@
 	g_test_add_func("/swap/least_used", test_swap_evicts_least_used);
 	g_test_add_func("/swap/arriving", test_swap_counts_arriving_adapters);
 	g_test_add_func("/swap/order", test_swap_order_of_wants);
+	g_test_add_func("/swap/idle_steps", test_swap_idle_steps);
 	g_test_add_func("/load_lanes", test_load_lanes);
 	g_test_add_func("/load_lanes/adopts", test_load_lanes_adopts);
 	g_test_add_func("/load_window", test_load_window);
