sidecar: what a replica holds is told again as soon as sizes are known; gateway: waiting requests are looked at less often

Cause: /gateway/cold_models failed once in six runs beside a busy machine. A sidecar that told what its replica holds before it knew the deployment told no free memory, and the next message came with the next report, up to 200 ms later since messages are paced: the gateway loaded from the store at the other replica.

Now each is looked at every 100 ms, and at a message only if the replica holds its model.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -440,6 +440,12 @@
 	return spec != NULL && b->free_mb >= spec->size_mb;
 }
 
+bool
+backend_holds(const struct backend *b, const char *model)
+{
+	return held(&b->entry.state, model) != NULL;
+}
+
 bool
 backend_has_copy(const struct backend *b, const char *model)
 {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -100,6 +100,9 @@
 /* Idle time of what a load would evict; -1: nothing may be evicted. */
 int64_t backend_victim_idle_us(const struct backend *, int64_t now_us);
 
+/* Whether the model is loaded there. */
+bool backend_holds(const struct backend *, const char *model);
+
 /* Whether the model is loaded there, or in its memory or on its disk. */
 bool backend_has_copy(const struct backend *, const char *model);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -30,6 +30,8 @@
 #define PATIENCE_GAPS 8 /* times the goal for pauses */
 #define WAIT_REPLICA_US (2 * USEC_PER_SEC) /* for one to be listed */
 #define WANT_REFUSED_US (5 * USEC_PER_SEC) /* until the caller is back */
+/* Looking at all replicas costs a small VM much: not more often for each. */
+#define REVIEW_US (100 * USEC_PER_MSEC)
 #define WANT_AGAIN_US (500 * USEC_PER_MSEC)
 /* Callers return after at most a third of the time they have left. */
 #define RETRY_AFTER_SHARE 0.33
@@ -307,6 +309,7 @@
 		exchange_refuse(x, RESULT_NOT_READY, "unknown service", 0);
 		return;
 	}
+	x->reviewed_us = clock_now(x->gateway->process.clock);
 	choice = choose(x, service);
 	if (choice.backend == NULL && may_wait_for_replica(x)) {
 		x->waiting = true;
@@ -338,11 +341,23 @@
 
 void
 exchanges_review(struct gateway *g)
+{
+	int64_t now = clock_now(g->process.clock);
+	struct exchange *x, *next;
+
+	TAILQ_FOREACH_SAFE(x, &g->exchanges, link, next) {
+		if (x->waiting && now - x->reviewed_us >= REVIEW_US)
+			exchange_dispatch(x);
+	}
+}
+
+void
+exchanges_on_holds(struct gateway *g, const struct backend *b)
 {
 	struct exchange *x, *next;
 
 	TAILQ_FOREACH_SAFE(x, &g->exchanges, link, next) {
-		if (x->waiting)
+		if (x->waiting && backend_holds(b, x->terms.model))
 			exchange_dispatch(x);
 	}
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 
 struct evhttp_request;
+struct backend;
 struct gateway;
 
 /* Takes over the request. */
@@ -19,8 +20,10 @@
 /* A deployment is known: routes the requests that waited for one. */
 void exchanges_route(struct gateway *);
 
-/* Replicas changed: looks at the waiting requests again. */
+/* Looks again at the requests that wait, each a few times a second. */
 void exchanges_review(struct gateway *);
+/* A replica told what it holds: looks at those that wait for that. */
+void exchanges_on_holds(struct gateway *, const struct backend *);
 
 /* The process ends soon: answers what has no answer yet. */
 void exchanges_end(struct gateway *);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -40,6 +40,7 @@
 	struct event *timer; /* deadline */
 	struct event *silence; /* of the replica: it may be asked elsewhere */
 	bool waiting; /* for a replica */
+	int64_t reviewed_us; /* when one was last looked for */
 	int64_t wanted_us; /* when a load was last asked for */
 
 	/* The call under way: */
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -121,6 +121,12 @@
 		}
 		return;
 	}
+	if (!b->has_report)
+		log_info(l->gateway->process.logger, "replica's models known",
+		    LF_S("replica", b->entry.id),
+		    LF_I("models", told->models.models_len),
+		    LF_I("in_memory", told->in_memory.in_memory_len),
+		    LF_I("on_disk", told->on_disk.on_disk_len));
 	b->has_report = true;
 	b->doubt_until_us = 0;
 	copy_models(s, told);
@@ -142,7 +148,7 @@
 	b->victim_idle_us = told->victim_idle_us;
 	b->victim_told_us = now;
 	note_gateways(l, told->gateways);
-	exchanges_review(l->gateway);
+	exchanges_on_holds(l->gateway, b);
 }
 
 static void
--- a/src/sidecar/peers.c
+++ b/src/sidecar/peers.c
@@ -326,11 +326,12 @@
 	m->msg.victim_idle_us = swap_idle_step(idle_us);
 }
 
-/* Never 0. */
+/* Of what changes where requests may go; never 0. */
 static uint64_t
-hash_models(const struct replica_state *s)
+hash_models(const struct replica_state *s, bool knows_sizes)
 {
-	uint64_t hash = (uint64_t)s->born_ms + s->draining;
+	uint64_t hash =
+	    (uint64_t)s->born_ms * 4 + s->draining * 2 + knows_sizes;
 
 	for (unsigned i = 0; i < s->model_count; i++)
 		hash = XXH3_64bits_withSeed(
@@ -378,6 +379,7 @@
 	XXH3_64bits_update(h, m->msg.loading, strlen(m->msg.loading));
 	XXH3_64bits_update(
 	    h, &m->msg.victim_idle_us, sizeof(m->msg.victim_idle_us));
+	XXH3_64bits_update(h, &m->msg.free_mb, sizeof(m->msg.free_mb));
 	hash = XXH3_64bits_digest(h);
 	XXH3_freeState(h);
 	return hash;
@@ -393,7 +395,7 @@
 
 	fill_holds(ps, &m);
 	hash = hash_holds(&m);
-	models = hash_models(&m.state);
+	models = hash_models(&m.state, sidecar_engine(ps->sidecar) != NULL);
 	TAILQ_FOREACH(p, &ps->list, link) {
 		if (!holds_due(p, hash, models, now) ||
 		    rpc_conn_send(p->conn, TM_REPLICA_HOLDS,
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -82,6 +82,9 @@
 	struct sidecar *sc = ctx;
 
 	sc->deployment = deployment_share_get(sc->share);
+	/* Sizes of models may differ, or be known only now. */
+	if (sc->peers != NULL)
+		peers_tell(sc->peers);
 }
 
 static void
--- a/test/process/harness_fleet.c
+++ b/test/process/harness_fleet.c
@@ -165,6 +165,22 @@
 	    strchr(any, ':') + 1);
 }
 
+/* A gateway may be ready before it has reached all sidecars. */
+static bool
+knows_models(void *gateway)
+{
+	char text[128];
+
+	for (int i = 0; i < FLEET_ENGINES; i++) {
+		snprintf(text, sizeof(text),
+		    "\"msg\":\"replica's models known\",\"replica\":\"%s\"",
+		    fleet.engines[i].id);
+		if (!proc_logged(gateway, text))
+			return false;
+	}
+	return true;
+}
+
 void
 fleet_start(void)
 {
@@ -212,9 +228,12 @@
 	}
 	for (int i = 0; i < FLEET_GATEWAYS; i++)
 		fleet_start_gateway(i);
-	for (int i = 0; i < FLEET_GATEWAYS; i++)
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
 		await_true(
 		    fleet_gateway_ready, fleet.ready[i], "gateway ready");
+		await_true(knows_models, &fleet.gateways[i],
+		    "gateway knows what the engines hold");
+	}
 }
 
 static void
