load_concurrency: named by the field's term; records from clocks that are ahead

'Lanes' were a word of ours. A record that a stepped clock dates ahead would have counted against the window and the concurrency until that time came; it is taken for now, since what was read has happened.

--- a/src/coordination/load_permit.c
+++ b/src/coordination/load_permit.c
@@ -10,7 +10,7 @@
 #include "common/log.h"
 #include "common/process.h"
 #include "common/rng.h"
-#include "coordination/load_lanes.h"
+#include "coordination/load_concurrency.h"
 #include "coordination/load_window.h"
 
 /* Loads besides the rate that the platform allows in a window, less one. */
@@ -27,14 +27,14 @@
 struct load_record {
 	uint64_t began_us;
 	uint32_t load_ms;
-	uint32_t lanes;
+	uint32_t limit;
 	uint64_t learned_us; /* when its writer learned that; 0: never */
 };
 
 struct load_permit {
 	struct load_permit_options opts;
 	struct load_window window;
-	struct load_lanes lanes;
+	struct load_concurrency running;
 	int64_t load_us; /* of the load asked for, alone */
 	unsigned beside; /* loads that ran when it was granted, with it */
 	struct event *retry;
@@ -67,7 +67,7 @@
 	}
 	log_info(process->logger, "load permitted", LF_I("alone", alone),
 	    LF_I("end", p->end), LF_I("limit", p->window.limit),
-	    LF_I("beside", p->beside), LF_I("lanes", p->lanes.lanes));
+	    LF_I("beside", p->beside), LF_I("concurrent", p->running.limit));
 	p->opts.granted(p->opts.ctx);
 }
 
@@ -78,15 +78,15 @@
 	int64_t now = clock_wall(process->clock);
 	struct load_record record = { .began_us = htobe64((uint64_t)now),
 		.load_ms = htobe32((uint32_t)(p->load_us / USEC_PER_MSEC)),
-		.lanes = htobe32(p->lanes.lanes),
-		.learned_us = htobe64((uint64_t)p->lanes.learned_us) };
+		.limit = htobe32(p->running.limit),
+		.learned_us = htobe64((uint64_t)p->running.learned_us) };
 
 	if (clock_now(process->clock) - p->asked_us > ASK_KEEP_US) {
 		p->asking = false; /* nobody waits for it any more */
 		return;
 	}
 	if (!load_window_allows(&p->window, now) ||
-	    !load_lanes_allows(&p->lanes, now)) {
+	    !load_concurrency_allows(&p->running, now)) {
 		process_timer_add(
 		    p->retry, RETRY_US + (int64_t)rng_below(&p->rng, RETRY_US));
 		return;
@@ -123,7 +123,7 @@
 	case FLEET_OK:
 		now = clock_wall(p->opts.process->clock);
 		load_window_note(&p->window, now);
-		p->beside = load_lanes_note(&p->lanes, now, p->load_us);
+		p->beside = load_concurrency_note(&p->running, now, p->load_us);
 		p->end = batch->end;
 		grant(p, false);
 		return;
@@ -139,16 +139,24 @@
 	}
 }
 
+/* What was read has happened, whatever its writer's clock says. */
+static int64_t
+not_after(int64_t then, int64_t now)
+{
+	return then < now ? then : now;
+}
+
 static void
 note_record(struct load_permit *p, const struct load_record *r)
 {
-	int64_t began_us = (int64_t)be64toh(r->began_us);
+	int64_t now = clock_wall(p->opts.process->clock);
+	int64_t began_us = not_after((int64_t)be64toh(r->began_us), now);
+	int64_t load_us = (int64_t)be32toh(r->load_ms) * USEC_PER_MSEC;
 
 	load_window_note(&p->window, began_us);
-	load_lanes_adopt(
-	    &p->lanes, be32toh(r->lanes), (int64_t)be64toh(r->learned_us));
-	(void)load_lanes_note(
-	    &p->lanes, began_us, (int64_t)be32toh(r->load_ms) * USEC_PER_MSEC);
+	load_concurrency_adopt(&p->running, be32toh(r->limit),
+	    not_after((int64_t)be64toh(r->learned_us), now));
+	(void)load_concurrency_note(&p->running, began_us, load_us);
 }
 
 static void
@@ -223,22 +231,23 @@
 int64_t
 load_permit_expected_us(const struct load_permit *p)
 {
-	if (p->beside <= p->lanes.lanes)
+	if (p->beside <= p->running.limit)
 		return p->load_us;
-	return p->load_us * p->beside / p->lanes.lanes;
+	return p->load_us * p->beside / p->running.limit;
 }
 
 void
 load_permit_measured(struct load_permit *p, int64_t took_us)
 {
-	unsigned before = p->lanes.lanes;
+	unsigned before = p->running.limit;
 
-	load_lanes_measured(&p->lanes, p->beside, p->load_us, took_us,
+	load_concurrency_measured(&p->running, p->beside, p->load_us, took_us,
 	    clock_wall(p->opts.process->clock));
-	if (p->lanes.lanes != before)
+	if (p->running.limit != before)
 		log_info(p->opts.process->logger, "loads at full speed",
-		    LF_I("lanes", p->lanes.lanes), LF_I("beside", p->beside),
-		    LF_I("took_us", took_us), LF_I("alone_us", p->load_us));
+		    LF_I("concurrent", p->running.limit),
+		    LF_I("beside", p->beside), LF_I("took_us", took_us),
+		    LF_I("alone_us", p->load_us));
 }
 
 struct load_permit *
@@ -249,7 +258,7 @@
 	if (p == NULL)
 		return NULL;
 	p->opts = *opts;
-	load_lanes_init(&p->lanes, opts->lanes);
+	load_concurrency_init(&p->running, opts->concurrent);
 	rng_seed_system(&p->rng);
 	p->retry = process_timer(opts->process, on_retry, p);
 	return p;
--- a/src/coordination/load_permit.h
+++ b/src/coordination/load_permit.h
@@ -2,11 +2,11 @@
  * load_permit -- leave to load from the weight store, from the platform's log.
  *
  * A daemon appends a record on condition that the log ends where it has read
- * to, and only if the window allows one more and a lane is free: so all daemons
+ * to, and only if the window and the concurrency allow one more: so all daemons
  * together stay within the ceiling, with no lease and no holder.  A record
- * tells when the load began, how long it takes alone, and how many lanes its
- * writer knows of.  Where the store cannot be asked, a daemon loads once in
- * `alone_us` at most.
+ * tells when the load began, how long it takes alone, and how many loads at
+ * once its writer knows of.  Where the store cannot be asked, a daemon loads
+ * once in `alone_us` at most.
  */
 #ifndef COORDINATION_LOAD_PERMIT_H
 #define COORDINATION_LOAD_PERMIT_H
@@ -26,7 +26,7 @@
 	int64_t window_us;
 	double overage;
 	int64_t alone_us;
-	unsigned lanes; /* until more is known */
+	unsigned concurrent; /* loads at once, until more is known */
 	void (*granted)(void *ctx);
 	void *ctx;
 };
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -59,8 +59,8 @@
 	{ "loads", "alone_ms", OPT_INT, AT(load_alone_ms), 0, 3600000, "9000",
 	    "ms", "pause between two such loads while the store is away",
 	    true },
-	{ "loads", "lanes", OPT_INT, AT(load_lanes), 1, 64, "4", NULL,
-	    "such loads at once at full speed, until loads show how many",
+	{ "loads", "concurrent", OPT_INT, AT(load_concurrency), 1, 64, "4",
+	    NULL, "such loads at once at full speed, until loads show how many",
 	    false },
 	OPTION_END,
 };
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -35,7 +35,7 @@
 	int64_t load_window_ms;
 	double load_overage;
 	int64_t load_alone_ms;
-	int64_t load_lanes;
+	int64_t load_concurrency;
 };
 
 struct sidecar {
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -584,7 +584,7 @@
 		.window_us = sc->settings.load_window_ms * USEC_PER_MSEC,
 		.overage = sc->settings.load_overage,
 		.alone_us = sc->settings.load_alone_ms * USEC_PER_MSEC,
-		.lanes = (unsigned)sc->settings.load_lanes,
+		.concurrent = (unsigned)sc->settings.load_concurrency,
 		.granted = on_permit,
 	};
 
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -6,7 +6,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
-#include "coordination/load_lanes.h"
+#include "coordination/load_concurrency.h"
 #include "coordination/load_window.h"
 #include "coordination/model_rate.h"
 #include "coordination/outlier.h"
@@ -423,7 +423,7 @@
 	g_assert_false(ask); /* its turn comes first */
 }
 
-/* ---- load_lanes ---- */
+/* ---- load_concurrency ---- */
 
 #define ALONE_US (8 * USEC_PER_SEC)
 
@@ -434,9 +434,9 @@
 	return running <= capacity ? ALONE_US : ALONE_US * running / capacity;
 }
 
-/* Begins loads while lanes are free; returns the longest of all. */
+/* Begins loads while the limit allows; returns the longest of all. */
 static int64_t
-play_loads(struct load_lanes *l, unsigned capacity, unsigned loads)
+play_loads(struct load_concurrency *l, unsigned capacity, unsigned loads)
 {
 	int64_t ends[64], longest = 0, began[64];
 	unsigned beside[64], begun = 0, ended = 0;
@@ -445,20 +445,20 @@
 		for (unsigned i = 0; i < begun; i++) {
 			if (ends[i] == 0 || ends[i] > now)
 				continue;
-			load_lanes_measured(
+			load_concurrency_measured(
 			    l, beside[i], ALONE_US, ends[i] - began[i], now);
 			if (ends[i] - began[i] > longest)
 				longest = ends[i] - began[i];
 			ends[i] = 0;
 			ended++;
 		}
-		while (begun < loads && load_lanes_allows(l, now)) {
+		while (begun < loads && load_concurrency_allows(l, now)) {
 			unsigned running = 1;
 
 			for (unsigned i = 0; i < begun; i++)
 				running += ends[i] != 0;
 			began[begun] = now;
-			beside[begun] = load_lanes_note(l, now, ALONE_US);
+			beside[begun] = load_concurrency_note(l, now, ALONE_US);
 			ends[begun++] = now + store_takes(running, capacity);
 		}
 	}
@@ -467,46 +467,46 @@
 
 /* 24 models wake, and the store serves two loads at full speed. */
 static void
-test_load_lanes(void)
+test_load_concurrency(void)
 {
-	struct load_lanes l;
+	struct load_concurrency l;
 	int64_t bound, unbounded;
 
-	load_lanes_init(&l, LOAD_LANES_MAX);
+	load_concurrency_init(&l, LOAD_CONCURRENCY_MAX);
 	unbounded = store_takes(24, 2);
-	load_lanes_init(&l, 4);
+	load_concurrency_init(&l, 4);
 	bound = play_loads(&l, 2, 24);
-	g_test_message("longest load: %" PRId64 " s by lanes, %" PRId64
+	g_test_message("longest load: %" PRId64 " s with a limit, %" PRId64
 		       " s all at once",
 	    (int64_t)(bound / USEC_PER_SEC),
 	    (int64_t)(unbounded / USEC_PER_SEC));
 	/* The second four begin before the first four have shown it. */
 	g_assert_cmpint(bound, <=, 3 * ALONE_US);
 	g_assert_cmpint(unbounded, >=, 10 * ALONE_US);
-	g_assert_cmpuint(l.lanes, <=, 3); /* one more is tried at times */
+	g_assert_cmpuint(l.limit, <=, 3); /* one more is tried at times */
 	/* A store that serves more is not held back for long. */
-	load_lanes_init(&l, 2);
+	load_concurrency_init(&l, 2);
 	g_assert_cmpint(play_loads(&l, 16, 40), ==, ALONE_US);
-	g_assert_cmpuint(l.lanes, >, 8);
+	g_assert_cmpuint(l.limit, >, 8);
 }
 
 /* What another daemon learned later counts; what it guessed does not. */
 static void
-test_load_lanes_adopts(void)
+test_load_concurrency_adopts(void)
 {
-	struct load_lanes l;
-
-	load_lanes_init(&l, 4);
-	load_lanes_adopt(&l, 9, 0);
-	g_assert_cmpuint(l.lanes, ==, 4);
-	load_lanes_adopt(&l, 2, 5000000);
-	load_lanes_adopt(&l, 3, 4000000);
-	g_assert_cmpuint(l.lanes, ==, 2);
+	struct load_concurrency l;
+
+	load_concurrency_init(&l, 4);
+	load_concurrency_adopt(&l, 9, 0);
+	g_assert_cmpuint(l.limit, ==, 4);
+	load_concurrency_adopt(&l, 2, 5000000);
+	load_concurrency_adopt(&l, 3, 4000000);
+	g_assert_cmpuint(l.limit, ==, 2);
 	/* One more is tried only a while after that. */
-	load_lanes_measured(&l, 2, ALONE_US, ALONE_US, 15000000);
-	g_assert_cmpuint(l.lanes, ==, 2);
-	load_lanes_measured(&l, 2, ALONE_US, ALONE_US, 95000000);
-	g_assert_cmpuint(l.lanes, ==, 3);
+	load_concurrency_measured(&l, 2, ALONE_US, ALONE_US, 15000000);
+	g_assert_cmpuint(l.limit, ==, 2);
+	load_concurrency_measured(&l, 2, ALONE_US, ALONE_US, 95000000);
+	g_assert_cmpuint(l.limit, ==, 3);
 }
 
 /* ---- load_window ---- */
@@ -627,8 +627,9 @@
 	g_test_add_func("/swap/arriving", test_swap_counts_arriving_adapters);
 	g_test_add_func("/swap/order", test_swap_order_of_wants);
 	g_test_add_func("/swap/idle_steps", test_swap_idle_steps);
-	g_test_add_func("/load_lanes", test_load_lanes);
-	g_test_add_func("/load_lanes/adopts", test_load_lanes_adopts);
+	g_test_add_func("/load_concurrency", test_load_concurrency);
+	g_test_add_func(
+	    "/load_concurrency/adopts", test_load_concurrency_adopts);
 	g_test_add_func("/load_window", test_load_window);
 	g_test_add_func("/outlier", test_outlier);
 	g_test_add_func("/pace_and_rate", test_pace_and_rate);
