loader: its files use one another in one direction

loader_orders and loader_state called back into loader (advance, wishes, expected time). Wishes and readings are in loader_view.c, below both; that something may have become possible is a callback of the loader. No change of behaviour; /loader/* and agent_loads pass unchanged.

--- a/src/coordination/loader.c
+++ b/src/coordination/loader.c
@@ -15,28 +15,6 @@
 
 /* ---- wishes ---- */
 
-struct wish *
-loader_find_wish(const struct loader *l, const char *model, const char *adapter)
-{
-	struct wish *w;
-
-	TAILQ_FOREACH(w, &l->wishes, link) {
-		if (strcmp(w->model, model) == 0 &&
-		    strcmp(w->adapter, adapter) == 0)
-			return w;
-	}
-	return NULL;
-}
-
-void
-loader_drop_wish(struct loader *l, struct wish *w)
-{
-	if (w->permitted)
-		l->opts.return_permit(l->opts.ctx, w->model, w->adapter);
-	TAILQ_REMOVE(&l->wishes, w, link);
-	free(w);
-}
-
 /* A failed one is kept for a while, so as not to try again at once. */
 static void
 drop_expired_wishes(struct loader *l)
@@ -253,8 +231,8 @@
 	loader_order_load(l, w);
 }
 
-void
-loader_advance(struct loader *l)
+static void
+advance(struct loader *l)
 {
 	struct wish *w, *next;
 
@@ -372,7 +350,7 @@
 	add_pins(l, model, "", -1);
 	if (adapter[0] != '\0')
 		add_pins(l, model, adapter, -1);
-	loader_advance(l);
+	advance(l);
 }
 
 bool
@@ -385,7 +363,7 @@
 		if (strcmp(w->model, model) == 0)
 			loader_drop_wish(l, w);
 	}
-	loader_advance(l);
+	advance(l);
 	while ((item = ledger_next(l->ledger, item)) != NULL) {
 		if (strcmp(item->model, model) == 0)
 			return false;
@@ -399,7 +377,7 @@
 loader_tick(struct loader *l)
 {
 	loader_ask_state(l);
-	loader_advance(l);
+	advance(l);
 }
 
 static void
@@ -421,6 +399,7 @@
 	if (l == NULL)
 		return NULL;
 	l->opts = *opts;
+	l->changed = advance;
 	l->load_ratio = 1;
 	l->predecessor_until_us =
 	    clock_now(opts->clock) + opts->order_linger_us;
@@ -470,84 +449,3 @@
 	free(l->cached);
 	free(l);
 }
-
-bool
-loader_started(const struct loader *l)
-{
-	return l->started;
-}
-
-enum tm_replica_state
-loader_state(const struct loader *l, const char *model)
-{
-	const struct ledger_item *item = ledger_find(l->ledger, model, "");
-
-	if (item == NULL)
-		return TM_REPLICA_COLD;
-	switch (item->state) {
-	case LEDGER_LOADING:
-		return TM_REPLICA_LOADING;
-	case LEDGER_LOADED:
-		return TM_REPLICA_LOADED;
-	case LEDGER_UNLOADING:
-		return TM_REPLICA_UNLOADING;
-	}
-	return TM_REPLICA_COLD;
-}
-
-bool
-loader_is_remote(const struct loader *l, const char *model)
-{
-	for (size_t i = 0; i < l->cached_count; i++) {
-		if (strcmp(l->cached[i].model, model) == 0)
-			return l->cached[i].tier == ENGINE_TIER_REMOTE;
-	}
-	return true;
-}
-
-int64_t
-loader_cold_us(const struct loader *l, const char *model)
-{
-	int64_t load = l->remote_load_us;
-
-	for (size_t i = 0; i < l->cached_count; i++) {
-		if (strcmp(l->cached[i].model, model) == 0)
-			load = l->cached[i].load_us;
-	}
-	return (int64_t)((double)load * l->load_ratio);
-}
-
-int64_t
-loader_expected_us(const struct loader *l, const char *model)
-{
-	int64_t load = loader_cold_us(l, model);
-	const struct order *o;
-
-	if (loader_state(l, model) == TM_REPLICA_LOADED)
-		return 0;
-	TAILQ_FOREACH(o, &l->orders, link) {
-		int64_t spent = clock_now(l->opts.clock) - o->sent_us;
-
-		if (o->op == ENGINE_LOAD && strcmp(o->model, model) == 0)
-			return load > spent ? load - spent : 0;
-	}
-	return load;
-}
-
-struct ledger *
-loader_ledger(const struct loader *l)
-{
-	return l->ledger;
-}
-
-uint32_t
-loader_max_batch(const struct loader *l)
-{
-	return l->max_batch;
-}
-
-uint32_t
-loader_tokens_per_sec(const struct loader *l)
-{
-	return l->tokens_per_sec;
-}
--- a/src/coordination/loader_internal.h
+++ b/src/coordination/loader_internal.h
@@ -76,6 +76,8 @@
 	double load_ratio; /* measured to reported load time, smoothed */
 	struct cached *cached;
 	size_t cached_count;
+	/* What is possible may have changed: does what has become so. */
+	void (*changed)(struct loader *);
 	TAILQ_HEAD(, wish) wishes;
 	TAILQ_HEAD(, order) orders;
 	TAILQ_HEAD(, mark) marks;
@@ -87,13 +89,11 @@
 	struct histogram *load_error;
 };
 
-/* ---- loader.c ---- */
+/* ---- loader_view.c ---- */
 
 struct wish *loader_find_wish(
     const struct loader *, const char *model, const char *adapter);
 void loader_drop_wish(struct loader *, struct wish *);
-/* Does what has become possible. */
-void loader_advance(struct loader *);
 
 /* ---- loader_orders.c ---- */
 
--- a/src/coordination/loader_orders.c
+++ b/src/coordination/loader_orders.c
@@ -172,7 +172,7 @@
 	else
 		settle_unload(l, o, status);
 	free(o);
-	loader_advance(l);
+	l->changed(l);
 	l->opts.changed(l->opts.ctx);
 }
 
--- a/src/coordination/loader_state.c
+++ b/src/coordination/loader_state.c
@@ -114,7 +114,7 @@
 	l->started = true;
 	if (l->asked_us >= l->predecessor_until_us)
 		l->settled = true;
-	loader_advance(l);
+	l->changed(l);
 	l->opts.changed(l->opts.ctx);
 }
 
