agent: the files of a job's way use one another in one direction

answer called keyed, and execute called pump, which both call them. Both are callbacks of the agent now, set in agent.c: dispatch, keyed, pump, execute, answer use only what comes after them. The four process tests of the agent's way pass unchanged.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -392,6 +392,8 @@
 
 	if (a == NULL)
 		return 1;
+	a->keyed_job_ended = agent_settle_claim;
+	a->place_free = agent_pump;
 	rc = daemon_args_load(argc, argv,
 	    "Gives the backend server beside it work and orders.", options,
 	    &a->settings, check_settings, &a->path);
--- a/src/agent/agent_internal.h
+++ b/src/agent/agent_internal.h
@@ -61,6 +61,12 @@
 };
 
 struct agent {
+	/*
+	 * Set by agent.c, so that the files of a job's way use one another in
+	 * one direction only: dispatch, keyed, pump, execute, answer.
+	 */
+	void (*keyed_job_ended)(struct agent *, struct job *);
+	void (*place_free)(struct agent *);
 	struct agent_settings settings;
 	const char *path;
 	struct node *node;
--- a/src/agent/answer.c
+++ b/src/agent/answer.c
@@ -83,7 +83,7 @@
 	job->pinned = false;
 	job_end(a->jobs, job, state, code, outcome);
 	if (job->keyed)
-		agent_settle_claim(a, job);
+		a->keyed_job_ended(a, job);
 	trace_note(a->node->trace, job->hex, "ended: %s, %u tokens",
 	    result_info(code)->name, job->tokens);
 	(*a->finished)++;
--- a/src/agent/execute.c
+++ b/src/agent/execute.c
@@ -46,7 +46,7 @@
 		agent_end_job(
 		    a, job, JOB_DONE, RESULT_BACKEND_FAILED, OUTCOME_UNKNOWN);
 	}
-	agent_pump(a);
+	a->place_free(a);
 }
 
 void
@@ -101,7 +101,7 @@
 	if (job == NULL)
 		return;
 	job->pausing = false;
-	agent_pump(a);
+	a->place_free(a);
 }
 
 void
@@ -159,7 +159,7 @@
 		    a, job, JOB_DONE, RESULT_BACKEND_FAILED, OUTCOME_UNKNOWN);
 		break;
 	}
-	agent_pump(a);
+	a->place_free(a);
 }
 
 void
