--- a/src/entry/resource_changes.c
+++ b/src/entry/resource_changes.c
@@ -3,6 +3,7 @@
 
 #include <ctype.h>
 #include <inttypes.h>
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,6 +22,7 @@
 #include "transport/http_server.h"
 
 #define VERDICT_WAIT_US (5 * USEC_PER_SEC)
+#define LARGE_BATCH 1000 /* documents */
 
 struct change_exchange {
 	struct entry *entry;
@@ -45,8 +47,13 @@
 static void
 exchange_free(struct change_exchange *x)
 {
+	bool large = json_array_size(x->names) >= LARGE_BATCH;
+
 	json_decref(x->names);
 	free(x);
+	/* What reading a large batch took would stay with the heap. */
+	if (large)
+		(void)malloc_trim(0);
 }
 
 static void
