selection: all gateways prefer the same replica for a part of a prompt

Each part has a preferred replica by rendezvous hashing, worth half of its reading time.

Ruled out: following the engines' prefix events (a trial read them: they name no adapter, and each call that finds some at once counts as a probe). Test: /selection/preferred_heads (60 reads of 20 heads before, 20 after).

--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -4,6 +4,8 @@
 
 #include <xxhash.h>
 
+#include "protocol/fleet.h"
+
 /* Default until a model's pace is measured: tokens read in a millisecond. */
 #define PREFILL_TOKENS_PER_MS 38
 #define FIRST_TOKEN_US 8000 /* a step of the batch and the way there */
@@ -27,6 +29,8 @@
 #define NO_MEMORY_US 800000
 /* Orders replicas that predict the same, alike at all gateways. */
 #define TIE_US 4000
+/* Chance that the replica preferred for a part has read it. */
+#define PREFERRED_SHARE 0.5
 /* Evicting what was used within this time is likely to cost a load. */
 #define VICTIM_WARM_US 10000000
 #define VICTIM_PENALTY_US 600000
@@ -67,6 +71,47 @@
 	return us;
 }
 
+/*
+ * Rendezvous hashing: all gateways prefer the same replica for a part, so that
+ * what one of them had read there need not be read elsewhere for another.
+ */
+static int
+preferred_for(const struct select_query *q, const struct prompt_part *part,
+    const struct select_replica *replicas, size_t count)
+{
+	uint64_t seed =
+	    XXH3_64bits_withSeed(q->model, strlen(q->model), part->id);
+	uint64_t most = 0, weight;
+	int best = -1;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct select_replica *r = &replicas[i];
+
+		if (!r->usable || r->ejected || r->load_us != 0)
+			continue;
+		weight = XXH3_64bits_withSeed(r->id, strlen(r->id), seed);
+		if (best != -1 && weight <= most)
+			continue;
+		best = (int)i;
+		most = weight;
+	}
+	return best;
+}
+
+/* What reading there saves, as others look there as well. */
+static int64_t
+saved_us(const struct select_query *q, const int *prefers, int replica)
+{
+	uint32_t tokens = 0;
+
+	for (unsigned i = 0; i < q->part_count; i++) {
+		if (prefers[i] == replica)
+			tokens += q->parts[i].tokens;
+	}
+	return (int64_t)(PREFERRED_SHARE * q->pace *
+			 (double)select_prefill_us(tokens));
+}
+
 /* What the choice costs others, in time. */
 static int64_t
 side_cost_us(const struct select_query *q, const struct select_replica *r)
@@ -87,7 +132,10 @@
 {
 	struct select_choice best = { .index = -1 };
 	int64_t best_cost = 0;
+	int prefers[FLEET_PARTS_MAX];
 
+	for (unsigned i = 0; i < q->part_count; i++)
+		prefers[i] = preferred_for(q, &q->parts[i], replicas, count);
 	for (size_t i = 0; i < count; i++) {
 		const struct select_replica *r = &replicas[i];
 		int64_t us, cost;
@@ -96,7 +144,7 @@
 		    r->load_us == SELECT_LOAD_NEVER)
 			continue;
 		us = first_us(q, r);
-		cost = us + side_cost_us(q, r);
+		cost = us + side_cost_us(q, r) - saved_us(q, prefers, (int)i);
 		if (best.index != -1 && cost >= best_cost)
 			continue;
 		best.index = (int)i;
--- a/src/coordination/selection.h
+++ b/src/coordination/selection.h
@@ -17,6 +17,8 @@
 
 #define SELECT_LOAD_NEVER (-1)
 
+struct prompt_part;
+
 struct select_replica {
 	const char *id;
 	bool usable; /* listed, not draining, not tried before */
@@ -37,6 +39,8 @@
 struct select_query {
 	const char *model; /* "": a plain service */
 	uint32_t prompt_tokens;
+	const struct prompt_part *parts; /* of the prompt, in order */
+	unsigned part_count;
 	uint32_t answer_tokens; /* expected */
 	double rate; /* requests a second for the model, at this gateway */
 	double pace; /* of the model: measured over default time */
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -119,6 +119,8 @@
 	c.count = 0;
 	c.query.model = terms->model;
 	c.query.prompt_tokens = terms->prompt_tokens;
+	c.query.parts = terms->parts;
+	c.query.part_count = terms->part_count;
 	c.query.answer_tokens = terms->expected_tokens != 0
 				    ? terms->expected_tokens
 				    : terms->max_tokens;
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -15,6 +15,7 @@
 #include "coordination/selection.h"
 #include "coordination/swap.h"
 #include "protocol/event_stream.h"
+#include "protocol/fleet.h"
 
 /* ---- selection ---- */
 
@@ -423,6 +424,67 @@
 	g_assert_false(ask); /* its turn comes first */
 }
 
+/* ---- replicas preferred for shared heads ---- */
+
+#define HEAD_REPLICAS 6
+#define HEAD_GATEWAYS 9
+#define HEADS 20
+#define HEAD_TOKENS 4000
+
+/*
+ * Gateways of three zones send prompts of shared heads, each knowing only what
+ * it sent itself; returns how often a head was read.
+ */
+static unsigned
+heads_read(bool preferring)
+{
+	bool kept[HEAD_REPLICAS][HEADS] = { { false } };
+	bool known[HEAD_GATEWAYS][HEAD_REPLICAS][HEADS] = { 0 };
+	char ids[HEAD_REPLICAS][8];
+	unsigned reads = 0;
+
+	for (unsigned n = 0; n < 600; n++) {
+		unsigned g = n * 7 % HEAD_GATEWAYS, head = n * 11 % HEADS;
+		struct prompt_part part = { .id = 1000 + head,
+			.tokens = HEAD_TOKENS };
+		struct select_replica r[HEAD_REPLICAS] = { 0 };
+		struct select_query q = { .model = "a",
+			.prompt_tokens = HEAD_TOKENS + 100,
+			.parts = &part,
+			.part_count = preferring,
+			.pace = 1 };
+		int to;
+
+		for (unsigned i = 0; i < HEAD_REPLICAS; i++) {
+			g_snprintf(ids[i], sizeof(ids[i]), "i-%u", i);
+			r[i] = (struct select_replica){ .id = ids[i],
+				.usable = true,
+				.same_zone = i % 3 == g % 3,
+				.slots = 8,
+				.kv_free = -1,
+				.cached_tokens =
+				    known[g][i][head] ? HEAD_TOKENS : 0,
+				.slowness = 1 };
+		}
+		to = select_replica(&q, r, HEAD_REPLICAS).index;
+		reads += !kept[to][head];
+		kept[to][head] = true;
+		known[g][to][head] = true;
+	}
+	return reads;
+}
+
+static void
+test_preferred_heads(void)
+{
+	unsigned with = heads_read(true), without = heads_read(false);
+
+	g_test_message("heads read: %u preferring, %u without, of %u", with,
+	    without, HEADS);
+	g_assert_cmpuint(with, ==, HEADS);
+	g_assert_cmpuint(without, >=, 3 * HEADS);
+}
+
 /* ---- load_concurrency ---- */
 
 #define ALONE_US (8 * USEC_PER_SEC)
@@ -627,6 +689,7 @@
 	g_test_add_func("/swap/arriving", test_swap_counts_arriving_adapters);
 	g_test_add_func("/swap/order", test_swap_order_of_wants);
 	g_test_add_func("/swap/idle_steps", test_swap_idle_steps);
+	g_test_add_func("/selection/preferred_heads", test_preferred_heads);
 	g_test_add_func("/load_concurrency", test_load_concurrency);
 	g_test_add_func(
 	    "/load_concurrency/adopts", test_load_concurrency_adopts);
