--- a/src/bench/load.c
+++ b/src/bench/load.c
@@ -41,7 +41,7 @@
 static void
 add_timer(struct event *timer, int64_t us)
 {
-	struct timeval tv = { us / USEC_PER_SEC, us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(us);
 
 	evtimer_add(timer, &tv);
 }
@@ -49,8 +49,7 @@
 static void
 maybe_settle(struct load *l)
 {
-	struct timeval tv = { SETTLE_US / USEC_PER_SEC,
-		SETTLE_US % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(SETTLE_US);
 
 	if (l->next == l->schedule->count && l->ended == l->next)
 		event_base_loopexit(
--- a/src/common/clock.c
+++ b/src/common/clock.c
@@ -42,6 +42,18 @@
 	free(clock);
 }
 
+struct timeval
+clock_timeval(int64_t us)
+{
+	struct timeval tv = { 0, 0 };
+
+	if (us > 0) {
+		tv.tv_sec = us / USEC_PER_SEC;
+		tv.tv_usec = us % USEC_PER_SEC;
+	}
+	return tv;
+}
+
 int64_t
 clock_now(const struct clock *clock)
 {
--- a/src/common/clock.h
+++ b/src/common/clock.h
@@ -14,6 +14,7 @@
 #define USEC_PER_SEC 1000000LL
 
 struct clock;
+struct timeval;
 
 struct clock *clock_create_real(void);
 struct clock *clock_create_manual(int64_t start_us);
@@ -22,6 +23,9 @@
 int64_t clock_now(const struct clock *);
 int64_t clock_wall(const struct clock *);
 
+/* For the loop's timers; a negative time is none. */
+struct timeval clock_timeval(int64_t us);
+
 /* Moves a manual clock forward; has no effect on a real one. */
 void clock_advance(struct clock *, int64_t us);
 
--- a/src/common/process.c
+++ b/src/common/process.c
@@ -99,8 +99,7 @@
 void
 process_timer_add(struct event *timer, int64_t delay_us)
 {
-	struct timeval tv = { delay_us / USEC_PER_SEC,
-		delay_us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(delay_us);
 
 	evtimer_add(timer, &tv);
 }
--- a/src/coordination/checkpoint_writer.c
+++ b/src/coordination/checkpoint_writer.c
@@ -67,8 +67,7 @@
 on_appended(void *ctx, enum log_status status, uint64_t offset)
 {
 	struct checkpoint_writer *w = ctx;
-	struct timeval tv = { w->opts.retry_us / USEC_PER_SEC,
-		w->opts.retry_us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(w->opts.retry_us);
 
 	/* A chunk that lands twice is taken once. */
 	if (status != LOG_OK) {
--- a/src/coordination/contact.c
+++ b/src/coordination/contact.c
@@ -52,8 +52,7 @@
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct contact *c = arg;
-	struct timeval tv = { c->opts.interval_us / USEC_PER_SEC,
-		c->opts.interval_us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(c->opts.interval_us);
 	struct rpc_conn *conn = NULL;
 
 	evtimer_add(c->timer, &tv);
--- a/src/coordination/holder.c
+++ b/src/coordination/holder.c
@@ -173,8 +173,7 @@
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct holder *h = arg;
-	struct timeval tv = { h->opts.tick_us / USEC_PER_SEC,
-		h->opts.tick_us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(h->opts.tick_us);
 	bool holding;
 
 	evtimer_add(h->timer, &tv);
--- a/src/coordination/log_follower.c
+++ b/src/coordination/log_follower.c
@@ -32,8 +32,7 @@
 static void
 schedule(struct log_follower *f, int64_t delay_us)
 {
-	struct timeval tv = { delay_us / USEC_PER_SEC,
-		delay_us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(delay_us);
 
 	evtimer_add(f->timer, &tv);
 }
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -51,7 +51,7 @@
 static void
 add_timer(struct event *timer, int64_t us)
 {
-	struct timeval tv = { us / USEC_PER_SEC, us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(us);
 
 	evtimer_add(timer, &tv);
 }
--- a/src/coordination/store.c
+++ b/src/coordination/store.c
@@ -153,7 +153,7 @@
     const struct rpc_versions *versions, int64_t wait_us,
     void (*done)(void *, bool), void *ctx)
 {
-	struct timeval tv = { wait_us / USEC_PER_SEC, wait_us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(wait_us);
 	struct waiter *w;
 
 	if (has_reached(store, versions)) {
--- a/src/entry/demand_link.c
+++ b/src/entry/demand_link.c
@@ -129,8 +129,7 @@
 demand_link_create(const struct demand_link_options *opts)
 {
 	struct demand_link *l = calloc(1, sizeof(*l));
-	struct timeval tv = { opts->interval_us / USEC_PER_SEC,
-		opts->interval_us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(opts->interval_us);
 
 	if (l == NULL)
 		abort();
--- a/src/entry/report_pull.c
+++ b/src/entry/report_pull.c
@@ -76,8 +76,7 @@
 report_pull_create(struct node *node, int64_t interval_us)
 {
 	struct report_pull *p = calloc(1, sizeof(*p));
-	struct timeval tv = { interval_us / USEC_PER_SEC,
-		interval_us % USEC_PER_SEC };
+	struct timeval tv = clock_timeval(interval_us);
 
 	if (p == NULL)
 		abort();
--- a/src/standin/engine_runs.c
+++ b/src/standin/engine_runs.c
@@ -1,4 +1,5 @@
 /* Generation, resume, cancel and cache events of the engine stand-in. */
+#include "common/clock.h"
 #include "standin/engine_model.h"
 
 #include <stdlib.h>
@@ -215,7 +216,7 @@
 static void
 add_timer(struct run *r, int64_t us)
 {
-	struct timeval tv = { us / 1000000, us % 1000000 };
+	struct timeval tv = clock_timeval(us);
 
 	evtimer_add(r->timer, &tv);
 }
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -8,6 +8,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "common/clock.h"
 #include "transport/http_client_internal.h"
 
 /* ---- calls ---- */
@@ -135,7 +136,7 @@
     struct http_client *client, const struct http_call_options *opts)
 {
 	struct http_call *call = calloc(1, sizeof(*call));
-	struct timeval tv = http_timeval(opts->timeout_us);
+	struct timeval tv = clock_timeval(opts->timeout_us);
 
 	if (call == NULL)
 		abort();
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "common/clock.h"
 #include "transport/http_client_internal.h"
 #include "transport/socket.h"
 #include "transport/tls.h"
@@ -14,14 +15,6 @@
 /* Leaves a kept connection before the server's own time-out closes it. */
 #define KEEP_ALIVE_MARGIN_US 1000000
 
-struct timeval
-http_timeval(int64_t us)
-{
-	struct timeval tv = { us / 1000000, us % 1000000 };
-
-	return tv;
-}
-
 /* ---- connections ---- */
 
 static void
@@ -170,7 +163,7 @@
 {
 	struct http_client *client = c->client;
 	int64_t idle_us = keep_alive_us(c);
-	struct timeval tv = http_timeval(idle_us);
+	struct timeval tv = clock_timeval(idle_us);
 
 	if (!may_keep(c) || idle_us == 1) {
 		http_conn_close(c);
@@ -416,7 +409,7 @@
 http_conn_open(struct http_client *client)
 {
 	struct http_conn *c = calloc(1, sizeof(*c));
-	struct timeval tv = http_timeval(client->opts.connect_timeout_us);
+	struct timeval tv = clock_timeval(client->opts.connect_timeout_us);
 
 	if (c == NULL)
 		abort();
--- a/src/transport/http_client_internal.h
+++ b/src/transport/http_client_internal.h
@@ -71,8 +71,6 @@
 	struct http_call_list dead_calls;
 };
 
-struct timeval http_timeval(int64_t us);
-
 /* A connection that belongs to the call to be set; NULL if none can be had. */
 struct http_conn *http_conn_open(struct http_client *);
 /* Closes the connection at once; its memory is freed from the loop. */
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -11,6 +11,7 @@
 #include <event2/listener.h>
 #include <jansson.h>
 
+#include "common/clock.h"
 #include "common/addr.h"
 #include "common/metrics.h"
 #include "transport/http_conns.h"
@@ -180,8 +181,7 @@
 http_server_create(const struct http_server_options *opts)
 {
 	struct http_server *server = calloc(1, sizeof(*server));
-	struct timeval tv = { opts->idle_timeout_us / 1000000,
-		opts->idle_timeout_us % 1000000 };
+	struct timeval tv = clock_timeval(opts->idle_timeout_us);
 
 	if (server == NULL)
 		return NULL;
--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
+#include "common/clock.h"
 #include "common/log.h"
 #include "common/metrics.h"
 #include "transport/rpc_internal.h"
@@ -17,7 +18,7 @@
 int
 rpc_adopt(struct rpc *rpc, evutil_socket_t fd)
 {
-	struct timeval tv = rpc_timeval(rpc->opts.stall_us);
+	struct timeval tv = clock_timeval(rpc->opts.stall_us);
 	struct rpc_conn *conn;
 
 	if (rpc->opts.max_accepted != 0 &&
@@ -56,7 +57,7 @@
 on_accept_error(struct evconnlistener *listener, void *arg)
 {
 	struct rpc *rpc = arg;
-	struct timeval tv = rpc_timeval(ACCEPT_PAUSE_US);
+	struct timeval tv = clock_timeval(ACCEPT_PAUSE_US);
 
 	evconnlistener_disable(listener);
 	evtimer_add(rpc->resume, &tv);
--- a/src/transport/rpc_call.c
+++ b/src/transport/rpc_call.c
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include "common/clock.h"
 #include "transport/rpc_internal.h"
 
 static void
@@ -50,7 +51,7 @@
 {
 	struct rpc *rpc = conn->rpc;
 	struct pending_call *p = calloc(1, sizeof(*p));
-	struct timeval tv = rpc_timeval(timeout_us);
+	struct timeval tv = clock_timeval(timeout_us);
 
 	if (p == NULL)
 		abort();
@@ -73,7 +74,7 @@
 		/* The connection may be freed before done() runs. */
 		p->xid = rpc->next_unsent++;
 		HASH_ADD(hh, rpc->unsent, xid, sizeof(p->xid), p);
-		tv = rpc_timeval(0);
+		tv = clock_timeval(0);
 	}
 	evtimer_add(p->timer, &tv);
 }
--- a/src/transport/rpc_conn.c
+++ b/src/transport/rpc_conn.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "common/clock.h"
 #include "common/log.h"
 #include "transport/rpc_internal.h"
 #include "transport/socket.h"
@@ -55,7 +56,7 @@
 static void
 watch_stall(struct rpc_conn *conn, bool completed)
 {
-	struct timeval tv = rpc_timeval(conn->rpc->opts.stall_us);
+	struct timeval tv = clock_timeval(conn->rpc->opts.stall_us);
 	size_t partial = evbuffer_get_length(bufferevent_get_input(conn->bev)) +
 			 evbuffer_get_length(conn->record) + conn->fragments;
 
@@ -132,7 +133,7 @@
 static void
 set_write_timeout(struct rpc_conn *conn)
 {
-	struct timeval tv = rpc_timeval(conn->rpc->opts.stall_us);
+	struct timeval tv = clock_timeval(conn->rpc->opts.stall_us);
 
 	if (conn->rpc->opts.stall_us > 0)
 		bufferevent_set_timeouts(conn->bev, NULL, &tv);
--- a/src/transport/rpc_internal.h
+++ b/src/transport/rpc_internal.h
@@ -88,8 +88,6 @@
 	uint64_t *bytes_out;
 };
 
-struct timeval rpc_timeval(int64_t us);
-
 /* ---- rpc_record.c ---- */
 
 /* Both return -1 if the record could not be queued. */
--- a/src/transport/rpc_record.c
+++ b/src/transport/rpc_record.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "common/clock.h"
 #include "common/log.h"
 #include "transport/rpc_internal.h"
 
@@ -14,18 +15,6 @@
 #define VERSIONS_SIZE 16
 #define HEADER_SIZE_MAX 128
 
-struct timeval
-rpc_timeval(int64_t us)
-{
-	struct timeval tv;
-
-	if (us < 0)
-		us = 0;
-	tv.tv_sec = us / 1000000;
-	tv.tv_usec = us % 1000000;
-	return tv;
-}
-
 void
 rpc_conn_close(struct rpc_conn *conn)
 {
