--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -29,7 +29,7 @@
 #define NO_MEMORY_US 800000
 /* Orders replicas that predict the same, alike at all gateways. */
 #define TIE_US 4000
-/* Chance that the replica preferred for a part has read it. */
+/* Chance that the replica preferred for a head has read it. */
 #define PREFERRED_SHARE 0.5
 /* Evicting what was used within this time is likely to cost a load. */
 #define VICTIM_WARM_US 10000000
@@ -72,15 +72,15 @@
 }
 
 /*
- * Rendezvous hashing: all gateways prefer the same replica for a part, so that
- * what one of them had read there need not be read elsewhere for another.
+ * Rendezvous hashing: all gateways prefer the same replica for a head, so that
+ * what one of them had read there need not be read elsewhere for another.  -1:
+ * none holds the model.
  */
 static int
-preferred_for(const struct select_query *q, const struct prompt_part *part,
+preferred_for(const struct select_query *q, uint64_t head,
     const struct select_replica *replicas, size_t count)
 {
-	uint64_t seed =
-	    XXH3_64bits_withSeed(q->model, strlen(q->model), part->id);
+	uint64_t seed = XXH3_64bits_withSeed(q->model, strlen(q->model), head);
 	uint64_t most = 0, weight;
 	int best = -1;
 
@@ -98,18 +98,25 @@
 	return best;
 }
 
-/* What reading there saves, as others look there as well. */
-static int64_t
-saved_us(const struct select_query *q, const int *prefers, int replica)
+/*
+ * The head is all parts but the last, which is the request's or its session's.
+ * What reading it costs is saved where others sent the same head.
+ */
+static int
+prefer(const struct select_query *q, const struct select_replica *replicas,
+    size_t count, int64_t *saved_us)
 {
 	uint32_t tokens = 0;
 
-	for (unsigned i = 0; i < q->part_count; i++) {
-		if (prefers[i] == replica)
-			tokens += q->parts[i].tokens;
-	}
-	return (int64_t)(PREFERRED_SHARE * q->pace *
-			 (double)select_prefill_us(tokens));
+	*saved_us = 0;
+	if (q->part_count < 2)
+		return -1;
+	for (unsigned i = 0; i < q->part_count - 1; i++)
+		tokens += q->parts[i].tokens;
+	*saved_us = (int64_t)(PREFERRED_SHARE * q->pace *
+			      (double)select_prefill_us(tokens));
+	return preferred_for(
+	    q, q->parts[q->part_count - 2].id, replicas, count);
 }
 
 /* What the choice costs others, in time. */
@@ -131,11 +138,9 @@
     size_t count, bool ejected)
 {
 	struct select_choice best = { .index = -1 };
-	int64_t best_cost = 0;
-	int prefers[FLEET_PARTS_MAX];
+	int64_t best_cost = 0, saved_us;
+	int preferred = prefer(q, replicas, count, &saved_us);
 
-	for (unsigned i = 0; i < q->part_count; i++)
-		prefers[i] = preferred_for(q, &q->parts[i], replicas, count);
 	for (size_t i = 0; i < count; i++) {
 		const struct select_replica *r = &replicas[i];
 		int64_t us, cost;
@@ -144,7 +149,9 @@
 		    r->load_us == SELECT_LOAD_NEVER)
 			continue;
 		us = first_us(q, r);
-		cost = us + side_cost_us(q, r) - saved_us(q, prefers, (int)i);
+		cost = us + side_cost_us(q, r);
+		if ((int)i == preferred)
+			cost -= saved_us;
 		if (best.index != -1 && cost >= best_cost)
 			continue;
 		best.index = (int)i;
