--- a/src/gateway/exchange_start.c
+++ b/src/gateway/exchange_start.c
@@ -36,6 +36,7 @@
 #define UNROUTED_SHARE 4 /* of the caller's deadline: one part in so many */
 #define UNROUTED_MAX_US (2500 * USEC_PER_MSEC)
 #define UNROUTED_MAX 256 /* requests; their bodies are kept */
+#define UNROUTED_BODY_MAX 65536 /* bytes: 16 MB for all of them */
 #define UNROUTED_RETRY_US (1 * USEC_PER_SEC)
 
 /* ---- refusals before there is an exchange ---- */
@@ -245,6 +246,14 @@
 	return x;
 }
 
+static bool
+may_keep(const struct gateway *g, struct evhttp_request *req)
+{
+	return g->unrouted < UNROUTED_MAX &&
+	       evbuffer_get_length(evhttp_request_get_input_buffer(req)) <=
+		   UNROUTED_BODY_MAX;
+}
+
 void
 exchange_start(struct gateway *g, struct evhttp_request *req)
 {
@@ -262,7 +271,7 @@
 		refuse_early(g, req, RESULT_LEAVING, "stopping");
 		return;
 	}
-	if (g->deployment == NULL && g->unrouted >= UNROUTED_MAX) {
+	if (g->deployment == NULL && !may_keep(g, req)) {
 		refuse_early(g, req, RESULT_NOT_READY, "no deployment yet");
 		return;
 	}
