sidecar: while the store is away, loads wait for one another by what gateways tell

What one sidecar had learned of the limit was lost with it.

A sidecar tells whether it loads from the weight store and what limit it knows; gateways tell the count and the newest limit with each want. A sidecar without the store begins after a random while, and waits for another one while as many run as the limit says.

--- a/src/coordination/load_permit.c
+++ b/src/coordination/load_permit.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "common/process.h"
 #include "common/rng.h"
+#include "coordination/load_alone.h"
 #include "coordination/load_concurrency.h"
 #include "coordination/load_window.h"
 
@@ -18,6 +19,8 @@
 /* Wall clocks of daemons differ, and may be set back by some seconds. */
 #define CLOCK_SLACK_US (2500 * USEC_PER_MSEC)
 #define RETRY_US (200 * USEC_PER_MSEC)
+/* Between two attempts while the store is away: each call has its price. */
+#define ALONE_RETRY_US (400 * USEC_PER_MSEC)
 /* An unused permit is as old as a load that has begun. */
 #define PERMIT_KEEP_US (2 * USEC_PER_SEC)
 /* Who asks asks again at each report, several times a second. */
@@ -45,8 +48,7 @@
 	int64_t asked_us; /* last */
 	bool held;
 	int64_t held_us;
-	int64_t alone_us; /* the last load without the store */
-	bool was_alone;
+	struct load_alone alone;
 };
 
 static void on_append(void *, const struct fleet_batch *);
@@ -61,8 +63,7 @@
 	p->held = true;
 	p->held_us = clock_now(process->clock);
 	if (alone) {
-		p->alone_us = p->held_us;
-		p->was_alone = true;
+		load_alone_note(&p->alone, p->held_us);
 		p->beside = 0;
 	}
 	log_info(process->logger, "load permitted", LF_I("alone", alone),
@@ -107,10 +108,11 @@
 {
 	int64_t now = clock_now(p->opts.process->clock);
 
-	if (!p->was_alone || now - p->alone_us >= p->opts.alone_us)
+	if (load_alone_allows(
+		&p->alone, p->running.limit, rng_real(&p->rng), now))
 		grant(p, true);
 	else
-		process_timer_add(p->retry, RETRY_US);
+		process_timer_add(p->retry, ALONE_RETRY_US);
 }
 
 static void
@@ -119,6 +121,8 @@
 	struct load_permit *p = ctx;
 	int64_t now;
 
+	if (batch->status == FLEET_OK || batch->status == FLEET_CONFLICT)
+		load_alone_contact(&p->alone);
 	switch (batch->status) {
 	case FLEET_OK:
 		now = clock_wall(p->opts.process->clock);
@@ -222,6 +226,24 @@
 	return held;
 }
 
+void
+load_permit_hear(struct load_permit *p, unsigned under_way, unsigned limit,
+    int64_t learned_us)
+{
+	int64_t wall = clock_wall(p->opts.process->clock);
+
+	load_alone_hear(
+	    &p->alone, under_way, clock_now(p->opts.process->clock));
+	load_concurrency_adopt(&p->running, limit, not_after(learned_us, wall));
+}
+
+unsigned
+load_permit_limit(const struct load_permit *p, int64_t *learned_us)
+{
+	*learned_us = p->running.learned_us;
+	return p->running.limit;
+}
+
 unsigned
 load_permit_beside(const struct load_permit *p)
 {
@@ -259,6 +281,7 @@
 		return NULL;
 	p->opts = *opts;
 	load_concurrency_init(&p->running, opts->concurrent);
+	load_alone_init(&p->alone, opts->alone_us);
 	rng_seed_system(&p->rng);
 	p->retry = process_timer(opts->process, on_retry, p);
 	return p;
--- a/src/coordination/load_permit.h
+++ b/src/coordination/load_permit.h
@@ -6,7 +6,8 @@
  * together stay within the ceiling, with no lease and no holder.  A record
  * tells when the load began, how long it takes alone, and how many loads at
  * once its writer knows of.  Where the store cannot be asked, a daemon loads
- * once in `alone_us` at most.
+ * once in `alone_us` at most, and waits while gateways tell of as many loads as
+ * run at full speed.
  */
 #ifndef COORDINATION_LOAD_PERMIT_H
 #define COORDINATION_LOAD_PERMIT_H
@@ -45,6 +46,14 @@
 /* Whether one could be taken. */
 bool load_permit_held(const struct load_permit *);
 
+/*
+ * What gateways tell: how many loads are under way, and what others learned of
+ * how many run at full speed.  Counts while the store cannot be asked.
+ */
+void load_permit_hear(struct load_permit *, unsigned under_way, unsigned limit,
+    int64_t learned_us);
+unsigned load_permit_limit(const struct load_permit *, int64_t *learned_us);
+
 /* Loads that ran when the permit was granted, with its own; 0: not known. */
 unsigned load_permit_beside(const struct load_permit *);
 /* The load of the last permit took so long. */
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -108,6 +108,18 @@
 		share_connections(all, b);
 }
 
+unsigned
+backends_store_loads(const struct backends *all)
+{
+	const struct backend *b;
+	unsigned count = 0;
+
+	TAILQ_FOREACH(b, &all->list, link)
+		count +=
+		    b->listed && b->loading[0] != '\0' && b->loading_from_store;
+	return count;
+}
+
 struct backend *
 backends_next(struct backends *all, struct backend *b)
 {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -54,6 +54,7 @@
 	uint64_t gate_tokens; /* of prompts that wait at the sidecar */
 	double reading_share; /* of the time, lately */
 	char loading[FLEET_NAME_MAX];
+	bool loading_from_store;
 	int64_t loading_since_us;
 	int64_t loading_until_us;
 	double free_mb;
@@ -86,6 +87,9 @@
  */
 void backends_share_connections(struct backends *, unsigned gateways);
 
+/* Loads from the weight store that sidecars tell of. */
+unsigned backends_store_loads(const struct backends *);
+
 /* Iterates; NULL starts. */
 struct backend *backends_next(struct backends *, struct backend *);
 unsigned backends_count(const struct backends *);
--- a/src/gateway/sidecar_links.c
+++ b/src/gateway/sidecar_links.c
@@ -44,6 +44,8 @@
 	struct rpc *rpc;
 	struct rpc_handler handlers[HANDLERS + 2];
 	unsigned gateways; /* that a sidecar counted */
+	unsigned store_loads_limit; /* as learned last by any sidecar */
+	int64_t limit_learned_us;
 	int64_t told_us;
 	bool closing;
 };
@@ -144,6 +146,11 @@
 		b->loading_since_us = now;
 	strlcpy(b->loading, told->loading, sizeof(b->loading));
 	b->loading_until_us = now + told->loading_left_us;
+	b->loading_from_store = told->loading_from_store;
+	if (told->limit_learned_us > l->limit_learned_us) {
+		l->store_loads_limit = told->store_loads_limit;
+		l->limit_learned_us = told->limit_learned_us;
+	}
 	b->free_mb = told->free_mb;
 	b->victim_idle_us = told->victim_idle_us;
 	b->victim_told_us = now;
@@ -353,6 +360,9 @@
 		.rank = rank,
 		.waiting = 1,
 		.left_us = (uint64_t)left_us,
+		.store_loads = backends_store_loads(l->gateway->backends),
+		.store_loads_limit = l->store_loads_limit,
+		.limit_learned_us = l->limit_learned_us,
 	};
 
 	if (b->conn != NULL && !b->connecting)
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -490,6 +490,9 @@
 	tm_name on_disk<TM_COPIES_MAX>;
 	tm_name loading;		/* model under way; "": none */
 	hyper loading_left_us;
+	bool loading_from_store;
+	unsigned int store_loads_limit;	/* that run at full speed at once */
+	hyper limit_learned_us;		/* wall clock; 0: not learned */
 	double free_mb;			/* of the replica's weight memory */
 	hyper victim_idle_us;		/* of the model to evict; -1: none */
 	unsigned int gateways;		/* that are connected to the sidecar */
@@ -528,6 +531,9 @@
 	unsigned int rank;
 	unsigned int waiting;
 	unsigned hyper left_us;		/* the want lapses then */
+	unsigned int store_loads;	/* from the weight store, under way */
+	unsigned int store_loads_limit;	/* as the gateway heard last */
+	hyper limit_learned_us;
 };
 
 struct tm_model_use {
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1208,6 +1208,12 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->loading_left_us))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->loading_from_store))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_loads_limit))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->limit_learned_us))
+		 return FALSE;
 	 if (!xdr_double (xdrs, &objp->free_mb))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->victim_idle_us))
@@ -1286,6 +1292,12 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->left_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_loads))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_loads_limit))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->limit_learned_us))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -586,6 +586,9 @@
 	} on_disk;
 	tm_name loading;
 	quad_t loading_left_us;
+	bool_t loading_from_store;
+	u_int store_loads_limit;
+	quad_t limit_learned_us;
 	double free_mb;
 	quad_t victim_idle_us;
 	u_int gateways;
@@ -625,6 +628,9 @@
 	u_int rank;
 	u_int waiting;
 	u_quad_t left_us;
+	u_int store_loads;
+	u_int store_loads_limit;
+	quad_t limit_learned_us;
 };
 typedef struct tm_replica_want tm_replica_want;
 
--- a/src/sidecar/peers_tell.c
+++ b/src/sidecar/peers_tell.c
@@ -84,6 +84,7 @@
 	if (loading != NULL)
 		m->msg.loading = (char *)loading;
 	m->msg.loading_left_us = left_us;
+	steering_fill_loads(s, &m->msg);
 	m->msg.free_mb = steering_free_mb(s);
 	idle_us = steering_victim_idle_us(s);
 	m->msg.victim_idle_us = swap_idle_step(idle_us);
@@ -143,6 +144,8 @@
 	XXH3_64bits_update(
 	    h, &m->msg.victim_idle_us, sizeof(m->msg.victim_idle_us));
 	XXH3_64bits_update(h, &m->msg.free_mb, sizeof(m->msg.free_mb));
+	XXH3_64bits_update(
+	    h, &m->msg.limit_learned_us, sizeof(m->msg.limit_learned_us));
 	hash = XXH3_64bits_digest(h);
 	XXH3_freeState(h);
 	return hash;
--- a/src/sidecar/steering.c
+++ b/src/sidecar/steering.c
@@ -131,6 +131,8 @@
 	int64_t now = clock_now(s->sidecar->process.clock);
 	struct want *w = find_want(s, told->model, told->adapter);
 
+	load_permit_hear(s->permit, told->store_loads, told->store_loads_limit,
+	    told->limit_learned_us);
 	if (w == NULL) {
 		if (s->want_count == WANTS_MAX) {
 			log_warn(s->sidecar->process.logger,
@@ -623,6 +625,17 @@
 	free(s);
 }
 
+void
+steering_fill_loads(const struct steering *s, struct tm_replica_holds *msg)
+{
+	int64_t learned_us;
+
+	msg->loading_from_store =
+	    s->loading[0] != '\0' && s->loading_from_store;
+	msg->store_loads_limit = load_permit_limit(s->permit, &learned_us);
+	msg->limit_learned_us = learned_us;
+}
+
 const struct replica_state *
 steering_state(const struct steering *s)
 {
--- a/src/sidecar/steering.h
+++ b/src/sidecar/steering.h
@@ -15,6 +15,7 @@
 struct sidecar;
 struct steering;
 struct tm_model_use;
+struct tm_replica_holds;
 struct tm_replica_want;
 
 struct steering *steering_create(struct sidecar *);
@@ -28,6 +29,8 @@
 /* What the replica reported last; NULL while it does not answer. */
 const struct replica_state *steering_state(const struct steering *);
 /* The model being loaded, and the time that is left; NULL: none. */
+/* What is known of loads from the weight store. */
+void steering_fill_loads(const struct steering *, struct tm_replica_holds *);
 const char *steering_loading(const struct steering *, int64_t *left_us);
 /* Share of the time that the replica lately spent reading prompts. */
 double steering_reading_share(const struct steering *);
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "coordination/load_alone.h"
 #include "coordination/load_concurrency.h"
 #include "coordination/load_window.h"
 #include "coordination/model_rate.h"
@@ -571,6 +572,61 @@
 	g_assert_cmpuint(l.limit, ==, 3);
 }
 
+/* ---- load_alone ---- */
+
+#define ALONE_DAEMONS 49
+#define ALONE_STEP_US (100 * USEC_PER_MSEC)
+#define ALONE_LAG 3 /* steps until all know of a load */
+
+/* All lose the log at once; returns the most loads at once in half a minute. */
+static unsigned
+play_alone(bool heard)
+{
+	struct load_alone l[ALONE_DAEMONS];
+	int64_t ends[ALONE_DAEMONS] = { 0 };
+	unsigned running[ALONE_LAG + 1] = { 0 }, most = 0;
+	GRand *rand = g_rand_new_with_seed(7);
+
+	for (unsigned i = 0; i < ALONE_DAEMONS; i++)
+		load_alone_init(&l[i], 9 * USEC_PER_SEC);
+	for (unsigned n = 1; n < 300; n++) {
+		int64_t now = n * ALONE_STEP_US;
+		unsigned count = 0;
+
+		for (unsigned i = 0; i < ALONE_DAEMONS; i++) {
+			double chance = g_rand_double(rand);
+
+			if (heard)
+				load_alone_hear(
+				    &l[i], running[n % (ALONE_LAG + 1)], now);
+			if (ends[i] <= now &&
+			    load_alone_allows(&l[i], 4, chance, now)) {
+				load_alone_note(&l[i], now);
+				ends[i] = now + ALONE_US;
+			}
+			count += ends[i] > now;
+		}
+		running[(n + ALONE_LAG) % (ALONE_LAG + 1)] = count;
+		if (count > most)
+			most = count;
+	}
+	g_rand_free(rand);
+	return most;
+}
+
+/* 49 daemons lose the store while many models wake. */
+static void
+test_load_alone(void)
+{
+	unsigned with = play_alone(true), without = play_alone(false);
+
+	g_test_message("loads at once without the log: %u hearing of others, "
+		       "%u not",
+	    with, without);
+	g_assert_cmpuint(with, <=, 12);
+	g_assert_cmpuint(without, >=, 40);
+}
+
 /* ---- load_window ---- */
 
 static void
@@ -693,6 +749,7 @@
 	g_test_add_func("/load_concurrency", test_load_concurrency);
 	g_test_add_func(
 	    "/load_concurrency/adopts", test_load_concurrency_adopts);
+	g_test_add_func("/load_alone", test_load_alone);
 	g_test_add_func("/load_window", test_load_window);
 	g_test_add_func("/outlier", test_outlier);
 	g_test_add_func("/pace_and_rate", test_pace_and_rate);
