--- a/src/coordination/load_concurrency.c
+++ b/src/coordination/load_concurrency.c
@@ -49,7 +49,7 @@
 {
 	unsigned running = load_concurrency_running(l, began_us) + 1;
 
-	if (running > l->limit)
+	if (l->limit > 0 && running > l->limit)
 		load_us = load_us * running / l->limit;
 	if (l->count < LOAD_CONCURRENCY_MAX)
 		l->end_us[l->count++] = began_us + load_us;
