test: no gateway hears that a replica leaves, failing

/gateway/silence_leaves_all_gateways_deaf: the stand-in store falls silent while the reads of both gateways begin; a replica of a plain service leaves after the silence and is sent requests for 26.9 s (bound 4 s). /gateway/lost_answers_leave_all_gateways_deaf: the answers to the reads of both gateways are lost; 26.9 s (bound 7 s). The stand-in store has the fault silent.

--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -292,6 +292,52 @@
 	fleet_stop();
 }
 
+/* Whether the silent store has swallowed a read of each gateway. */
+static bool
+reads_are_swallowed(void *ctx)
+{
+	return read_journal_int(fleet.store, "swallowed") >= FLEET_GATEWAYS;
+}
+
+/* A silence swallows the reads of all gateways, so that none is ahead. */
+static void
+test_silence_leaves_all_gateways_deaf(void)
+{
+	int64_t start_ms;
+
+	fleet_start();
+	/* Reads are answered, and the next ones begin in the silence. */
+	fleet_write_replica(&fleet.services[1], "app", "ready", 1000);
+	set_faults(fleet.store, "{\"silent\": true}");
+	await_true(reads_are_swallowed, NULL, "reads swallowed");
+	set_faults(fleet.store, "{\"silent\": false}");
+	start_ms = now_ms();
+	fleet_write_replica(&fleet.services[0], "app", "draining", 1000);
+	await_true(drained_replica_is_unused_under_load, NULL,
+	    "draining replica unused");
+	g_assert_cmpint(now_ms() - start_ms, <, DEAF_MAX_MS);
+	fleet_stop();
+}
+
+/* The pages' 3 s until the store counts as stable, and DEAF_MAX_MS. */
+#define LOST_ANSWER_MAX_MS (3000 + DEAF_MAX_MS)
+
+/* The answers to the reads of all gateways are lost. */
+static void
+test_lost_answers_leave_all_gateways_deaf(void)
+{
+	int64_t start_ms;
+
+	fleet_start();
+	set_faults(fleet.store, "{\"forget_waiting\": \"keyed.servers\"}");
+	start_ms = now_ms();
+	fleet_write_replica(&fleet.services[0], "app", "draining", 1000);
+	await_true(drained_replica_is_unused_under_load, NULL,
+	    "draining replica unused");
+	g_assert_cmpint(now_ms() - start_ms, <, LOST_ANSWER_MAX_MS);
+	fleet_stop();
+}
+
 static void
 test_without_store(void)
 {
@@ -575,6 +621,10 @@
 	g_test_add_func("/gateway/configuration", test_configuration_and_drain);
 	g_test_add_func("/gateway/forgotten_read_leaves_gateway_deaf",
 	    test_forgotten_read_leaves_gateway_deaf);
+	g_test_add_func("/gateway/silence_leaves_all_gateways_deaf",
+	    test_silence_leaves_all_gateways_deaf);
+	g_test_add_func("/gateway/lost_answers_leave_all_gateways_deaf",
+	    test_lost_answers_leave_all_gateways_deaf);
 	g_test_add_func("/gateway/without_store", test_without_store);
 	g_test_add_func(
 	    "/gateway/starts_without_store", test_starts_without_store);
