coordination: a silence of the store no longer leaves all gateways deaf

What callers saw: requests were sent to a replica 2.3 s after the store had that it leaves (bound 2 s).

Cause: a store that falls silent swallows the reads that begin meanwhile and keeps their connections open. A read waits 25 s, so its gateway was in touch and deaf for 26.5 s.

The two failing tests show the same with a stand-in store: 26.9 s.

The change: a read that waits is checked by one that does not wait, 0.3 s after its begin, so that a swallowed one is noticed while the silence lasts, and reads begin to wait again only once the store answers. The replicas' feed is checked from then on too, since an answer can be lost at any time; all gateways together check about once in 0.75 s, each at most every 3 s, and tell the others by the hints they have. The feeds of the deployment and of crash records get the first check. Ruled out: shorter waits for all reads, which take longer to notice a silence and make more calls as gateways are added.

Measured: /gateway/silence_leaves_all_gateways_deaf 26.9 s before, whole test 1.4 s now; lost_answers_leave_all_gateways_deaf 26.9 s before, whole test 3.2 s.

--- a/src/coordination/keyed_feed.c
+++ b/src/coordination/keyed_feed.c
@@ -22,6 +22,11 @@
 #define HINT_WAIT_US (200 * USEC_PER_MSEC)
 #define HINT_RETRY_US (2 * USEC_PER_SEC) /* the store may still be silent */
 #define HINT_READS_MAX 3 /* for one offset */
+/*
+ * From the begin of a read to its first check.  A silence that is shorter, and
+ * falls in between, stays unnoticed until the next check.
+ */
+#define FIRST_CHECK_US (300 * USEC_PER_MSEC)
 
 /* A read in progress. */
 struct feed_read {
@@ -42,6 +47,9 @@
 	int64_t retry_us; /* next pause after a failed read, before jitter */
 	/* The newest read; NULL: none.  Answers to older ones are ignored. */
 	struct feed_read *read;
+	struct feed_read *check; /* the newest read's; NULL: none */
+	bool check_failed; /* the last one of the newest read */
+	struct event *check_timer;
 	LIST_HEAD(, feed_read) reads;
 	struct event *hint_timer;
 	uint64_t hint; /* the highest offset that another daemon has read to */
@@ -50,6 +58,7 @@
 
 static void on_read(void *, const struct fleet_batch *);
 static void on_page(void *, const struct fleet_batch *);
+static void on_check(void *, const struct fleet_batch *);
 
 static void
 note_contact(struct keyed_feed *f, const struct fleet_batch *batch)
@@ -78,8 +87,8 @@
 	    f->opts.store, f->opts.topic, f->after_key, on_page, f);
 }
 
-static void
-start_read(struct keyed_feed *f)
+static struct feed_read *
+new_read(struct keyed_feed *f)
 {
 	struct feed_read *read = calloc(1, sizeof(*read));
 
@@ -87,9 +96,47 @@
 		abort();
 	read->feed = f;
 	LIST_INSERT_HEAD(&f->reads, read, link);
-	f->read = read;
-	f->opts.ops->read(f->opts.store, f->opts.topic, f->next_offset,
-	    f->opts.poll_us, on_read, read);
+	return read;
+}
+
+/*
+ * A read that waits begins only once the store has answered one that does not:
+ * it would be swallowed if the store were still silent.
+ */
+static void
+start_read(struct keyed_feed *f)
+{
+	int64_t wait_us = f->contact_since_us == -1 ? 0 : f->opts.poll_us;
+
+	f->read = new_read(f);
+	f->check = NULL;
+	f->check_failed = false;
+	event_del(f->check_timer);
+	if (f->opts.check && wait_us > 0)
+		process_timer_add(f->check_timer, FIRST_CHECK_US);
+	f->opts.ops->read(f->opts.store, f->opts.topic, f->next_offset, wait_us,
+	    on_read, f->read);
+}
+
+static void
+on_check_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct keyed_feed *f = arg;
+
+	if (f->read == NULL)
+		return;
+	f->check = new_read(f);
+	f->opts.ops->read(f->opts.store, f->opts.topic, f->next_offset, 0,
+	    on_check, f->check);
+}
+
+/* The newest read has ended, or is given up. */
+static void
+end_read(struct keyed_feed *f)
+{
+	f->read = NULL;
+	f->check = NULL;
+	event_del(f->check_timer);
 }
 
 static void
@@ -122,6 +169,12 @@
 	process_timer_add(f->hint_timer, HINT_RETRY_US);
 }
 
+void
+keyed_feed_set_check_pause(struct keyed_feed *f, int64_t us)
+{
+	f->opts.check_pause_us = us;
+}
+
 void
 keyed_feed_read_again(struct keyed_feed *f)
 {
@@ -143,18 +196,24 @@
 
 /* With jitter, so that the daemons do not all call the store at once. */
 static void
-retry(struct keyed_feed *f)
+add_retry_timer(struct keyed_feed *f, struct event *timer)
 {
 	int64_t max_us = f->complete ? RETRY_MAX_US : RETRY_INITIAL_MAX_US;
 	int64_t pause =
 	    (int64_t)((double)f->retry_us * (0.5 + 0.5 * rng_real(&f->rng)));
 
-	process_timer_add(f->timer, pause);
+	process_timer_add(timer, pause);
 	f->retry_us *= 2;
 	if (f->retry_us > max_us)
 		f->retry_us = max_us;
 }
 
+static void
+retry(struct keyed_feed *f)
+{
+	add_retry_timer(f, f->timer);
+}
+
 static void
 report_records(struct keyed_feed *f, const struct fleet_batch *batch)
 {
@@ -195,17 +254,9 @@
 }
 
 static void
-on_read(void *ctx, const struct fleet_batch *batch)
+apply_read(struct keyed_feed *f, const struct fleet_batch *batch)
 {
-	struct feed_read *read = ctx;
-	struct keyed_feed *f = read->feed;
-	bool newest = f->read == read;
-
-	LIST_REMOVE(read, link);
-	free(read);
-	if (!newest)
-		return;
-	f->read = NULL;
+	end_read(f);
 	note_contact(f, batch);
 	if (batch->status == FLEET_EXPIRED) {
 		log_warn(f->opts.process->logger, "records expired",
@@ -223,6 +274,68 @@
 	process_timer_add(f->timer, f->opts.pause_us);
 }
 
+static void
+on_read(void *ctx, const struct fleet_batch *batch)
+{
+	struct feed_read *read = ctx;
+	struct keyed_feed *f = read->feed;
+	bool newest = f->read == read;
+
+	LIST_REMOVE(read, link);
+	free(read);
+	if (newest)
+		apply_read(f, batch);
+}
+
+static void
+add_check_timer(struct keyed_feed *f)
+{
+	int64_t pause = f->opts.check_pause_us;
+
+	/* With jitter, so that gateways do not all check at the same time. */
+	if (pause > 0)
+		process_timer_add(f->check_timer,
+		    (int64_t)((double)pause *
+			      (0.75 + 0.5 * rng_real(&f->rng))));
+}
+
+/*
+ * A failed check leaves the read alone, as a slow store may still answer it.
+ * The first one that succeeds after that reads anew.
+ */
+static void
+on_check(void *ctx, const struct fleet_batch *batch)
+{
+	struct feed_read *check = ctx;
+	struct keyed_feed *f = check->feed;
+	bool newest = f->check == check;
+	bool deaf;
+
+	LIST_REMOVE(check, link);
+	free(check);
+	if (!newest)
+		return;
+	f->check = NULL;
+	if (batch->status != FLEET_OK && batch->status != FLEET_EXPIRED) {
+		note_contact(f, batch);
+		f->check_failed = true;
+		add_retry_timer(f, f->check_timer);
+		return;
+	}
+	deaf = batch->count > 0 || batch->status == FLEET_EXPIRED;
+	if (!deaf && !f->check_failed) {
+		add_check_timer(f);
+		return;
+	}
+	log_info(f->opts.process->logger, "read was swallowed",
+	    LF_S("feed", f->opts.name), LF_I("next", f->next_offset),
+	    LF_I("records", batch->count),
+	    LF_I("check_failed", f->check_failed));
+	apply_read(f, batch);
+	if (f->opts.deaf != NULL)
+		f->opts.deaf(f->opts.ctx);
+}
+
 struct keyed_feed *
 keyed_feed_create(const struct keyed_feed_options *opts)
 {
@@ -237,6 +350,7 @@
 	LIST_INIT(&f->reads);
 	f->timer = process_timer_new(opts->process, on_timer, f);
 	f->hint_timer = process_timer_new(opts->process, on_hint_timer, f);
+	f->check_timer = process_timer_new(opts->process, on_check_timer, f);
 	start_snapshot(f);
 	return f;
 }
@@ -254,6 +368,7 @@
 	}
 	event_free(f->timer);
 	event_free(f->hint_timer);
+	event_free(f->check_timer);
 	free(f);
 }
 
--- a/src/coordination/keyed_feed.h
+++ b/src/coordination/keyed_feed.h
@@ -7,9 +7,12 @@
  * changes arrive in one read.  After an outage it continues at its offset; if
  * those records have expired, it reads a snapshot again.
  *
- * A store that falls silent may swallow a read without closing its connection,
- * which shows only once the read times out.  Until then the feed would miss all
- * records.  If another daemon has read further, the feed reads anew beside it.
+ * A store that falls silent may swallow a read, or lose its answer, without
+ * closing the connection, which shows only once the read times out.  Until then
+ * the feed would miss all records.  Therefore a read that waits is checked by a
+ * second one that does not wait: soon after its begin, since a silence swallows
+ * the reads that begin in it at all daemons, and from then on at intervals.  If
+ * another daemon has read further, the feed reads anew at once.
  */
 #ifndef COORDINATION_KEYED_FEED_H
 #define COORDINATION_KEYED_FEED_H
@@ -30,6 +33,8 @@
 	const char *name; /* in log lines */
 	int64_t poll_us; /* longest wait of a read for new records */
 	int64_t pause_us; /* between two reads, to combine changes */
+	bool check; /* whether to check reads that wait */
+	int64_t check_pause_us; /* between two checks; 0: only the first */
 	void (*record)(void *ctx, const struct fleet_record *);
 	/*
 	 * Run around the records of a snapshot; keys without a record in it
@@ -37,7 +42,7 @@
 	 */
 	void (*snapshot_begin)(void *ctx);
 	void (*snapshot_end)(void *ctx);
-	/* Runs when a read is begun because of a hint; may be NULL. */
+	/* Runs when a read seems to have been swallowed; may be NULL. */
 	void (*deaf)(void *ctx);
 	void *ctx;
 };
@@ -58,6 +63,9 @@
  */
 void keyed_feed_hint(struct keyed_feed *, uint64_t offset);
 
+/* Changes check_pause_us, from the next check on. */
+void keyed_feed_set_check_pause(struct keyed_feed *, int64_t us);
+
 /* Reads anew if a read is in progress: the store may have swallowed it. */
 void keyed_feed_read_again(struct keyed_feed *);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -32,6 +32,13 @@
 #include "transport/http_server.h"
 
 #define TICK_US (50 * USEC_PER_MSEC)
+/*
+ * A lost answer must be noticed before the store counts as stable again and a
+ * leaving replica's drain_within_ms have passed.  Gateways check in turn, as
+ * one that has read further than others gives them a hint.
+ */
+#define CHECK_EVERY_US (750 * USEC_PER_MSEC) /* by any gateway */
+#define CHECK_PAUSE_MIN_US (3 * USEC_PER_SEC) /* by one gateway */
 #define LONG_POLL_US (25 * USEC_PER_SEC) /* longest wait of a store read */
 /*
  * Pause between two reads of replica entries, so that one call returns the
@@ -323,6 +330,14 @@
 	crash_guard_read_again(g->crash_guard);
 }
 
+int64_t
+gateway_check_pause(unsigned gateways)
+{
+	int64_t pause_us = gateways * CHECK_EVERY_US;
+
+	return pause_us < CHECK_PAUSE_MIN_US ? CHECK_PAUSE_MIN_US : pause_us;
+}
+
 static struct keyed_feed *
 create_feed(struct gateway *g, enum fleet_topic topic, const char *name,
     int64_t pause_us, void (*record)(void *, const struct fleet_record *),
@@ -336,6 +351,9 @@
 		.name = name,
 		.poll_us = LONG_POLL_US,
 		.pause_us = pause_us,
+		.check = true,
+		.check_pause_us =
+		    topic == FLEET_REPLICAS ? gateway_check_pause(1) : 0,
 		.record = record,
 		.snapshot_begin = begin,
 		.snapshot_end = end,
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -103,4 +103,10 @@
  */
 double gateway_retry_burst(const struct gateway *, unsigned gateways);
 
+/*
+ * Pause in us between two checks of the replicas' feed by one gateway of so
+ * many.
+ */
+int64_t gateway_check_pause(unsigned gateways);
+
 #endif
--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -96,6 +96,8 @@
 		return;
 	sc->gateways = gateways;
 	backends_divide_connections(g->backends, gateways);
+	keyed_feed_set_check_pause(
+	    g->replica_feed, gateway_check_pause(gateways));
 	if (gateways > g->settings.retry_gateways)
 		retry_budget_set_burst(
 		    g->retry_budget, gateway_retry_burst(g, gateways));
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -319,6 +319,27 @@
 	fleet_stop();
 }
 
+struct settled {
+	int64_t reads;
+	int64_t since_ms;
+};
+
+#define SETTLED_MS 700 /* more than the time to the first check of a read */
+
+/* Whether all gateways' reads wait, and have been checked. */
+static bool
+reads_have_settled(void *ctx)
+{
+	struct settled *s = ctx;
+	int64_t reads = read_journal_int(fleet.store, "reads");
+
+	if (reads != s->reads) {
+		s->reads = reads;
+		s->since_ms = now_ms();
+	}
+	return now_ms() - s->since_ms >= SETTLED_MS;
+}
+
 /* The pages' 3 s until the store counts as stable, and DEAF_MAX_MS. */
 #define LOST_ANSWER_MAX_MS (3000 + DEAF_MAX_MS)
 
@@ -326,9 +347,11 @@
 static void
 test_lost_answers_leave_all_gateways_deaf(void)
 {
+	struct settled settled = { 0 };
 	int64_t start_ms;
 
 	fleet_start();
+	await_true(reads_have_settled, &settled, "reads wait");
 	set_faults(fleet.store, "{\"forget_waiting\": \"keyed.servers\"}");
 	start_ms = now_ms();
 	fleet_write_replica(&fleet.services[0], "app", "draining", 1000);
--- a/test/unit/test_keyed_feed.c
+++ b/test/unit/test_keyed_feed.c
@@ -20,6 +20,7 @@
 
 struct fake_read {
 	uint64_t from;
+	int64_t wait_us;
 	fleet_batch_cb *done;
 	void *ctx;
 };
@@ -46,7 +47,8 @@
     fleet_batch_cb *done, void *ctx)
 {
 	g_assert_cmpuint(store.read_count, <, READS_MAX);
-	store.reads[store.read_count++] = (struct fake_read){ from, done, ctx };
+	store.reads[store.read_count++] =
+	    (struct fake_read){ from, wait_us, done, ctx };
 }
 
 static const struct fleet_store_ops fake_ops = {
@@ -97,8 +99,17 @@
 	r->done(r->ctx, &batch);
 }
 
+static void
+fail(unsigned read)
+{
+	struct fake_read *r = &store.reads[read];
+	struct fleet_batch batch = { .status = FLEET_UNKNOWN };
+
+	r->done(r->ctx, &batch);
+}
+
 static struct keyed_feed *
-open_feed(void)
+open_feed(bool check, int64_t check_pause_us)
 {
 	struct process_options process = { .name = "test",
 		.log_levels = "error" };
@@ -106,6 +117,8 @@
 		.ops = &fake_ops,
 		.name = "test",
 		.poll_us = POLL_US,
+		.check = check,
+		.check_pause_us = check_pause_us,
 		.record = on_record,
 		.snapshot_begin = ignore,
 		.snapshot_end = ignore,
@@ -124,7 +137,7 @@
 static void
 test_swallowed_read_leaves_feed_deaf(void)
 {
-	struct keyed_feed *f = open_feed();
+	struct keyed_feed *f = open_feed(false, 0);
 
 	keyed_feed_hint(f, END);
 	run_loop(400 * USEC_PER_MSEC);
@@ -148,7 +161,7 @@
 static void
 test_lost_records_are_read_without_end(void)
 {
-	struct keyed_feed *f = open_feed();
+	struct keyed_feed *f = open_feed(false, 0);
 
 	for (int i = 0; i < 20; i++) {
 		keyed_feed_hint(f, END + 2);
@@ -160,6 +173,106 @@
 	process_close(&store.process);
 }
 
+/* A read that the store answers without a record is left to wait. */
+static void
+test_answered_check_leaves_read(void)
+{
+	struct keyed_feed *f = open_feed(true, 0);
+
+	run_loop(400 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 2);
+	g_assert_cmpint(store.reads[0].wait_us, ==, POLL_US);
+	g_assert_cmpint(store.reads[1].wait_us, ==, 0);
+	answer(1, 0);
+	run_loop(400 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 2); /* one check is enough */
+	answer(0, 1);
+	g_assert_cmpuint(store.records, ==, 1);
+	g_assert_cmpuint(store.deaf, ==, 0);
+	keyed_feed_destroy(f);
+	process_close(&store.process);
+}
+
+/* The store falls silent before the read and stays so for two checks. */
+static void
+test_silence_leaves_feed_deaf(void)
+{
+	struct keyed_feed *f = open_feed(true, 0);
+
+	run_loop(400 * USEC_PER_MSEC);
+	fail(1);
+	g_assert_cmpint(keyed_feed_contact_since(f), ==, -1);
+	run_loop(300 * USEC_PER_MSEC);
+	fail(2);
+	run_loop(500 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 4);
+	answer(3, 0);
+	g_assert_cmpint(keyed_feed_contact_since(f), !=, -1);
+	g_assert_cmpuint(store.deaf, ==, 1);
+	run_loop(10 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 5);
+	g_assert_cmpint(store.reads[4].wait_us, ==, POLL_US);
+	answer(0, 1); /* to the swallowed read, late */
+	g_assert_cmpuint(store.records, ==, 0);
+	answer(4, 2);
+	g_assert_cmpuint(store.records, ==, 2);
+	keyed_feed_destroy(f);
+	process_close(&store.process);
+}
+
+/* A slow store fails the checks, and answers the read in the end. */
+static void
+test_failed_check_drops_read(void)
+{
+	struct keyed_feed *f = open_feed(true, 0);
+
+	run_loop(400 * USEC_PER_MSEC);
+	fail(1);
+	answer(0, 1);
+	g_assert_cmpuint(store.records, ==, 1);
+	g_assert_cmpint(keyed_feed_contact_since(f), !=, -1);
+	keyed_feed_destroy(f);
+	process_close(&store.process);
+}
+
+/* The answer to a read that was checked once is lost. */
+static void
+test_lost_answer_leaves_feed_deaf(void)
+{
+	struct keyed_feed *f = open_feed(true, 200 * USEC_PER_MSEC);
+
+	run_loop(400 * USEC_PER_MSEC);
+	answer(1, 0);
+	run_loop(300 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 3);
+	answer(2, 2);
+	g_assert_cmpuint(store.records, ==, 2);
+	g_assert_cmpuint(store.deaf, ==, 1);
+	run_loop(10 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.reads[3].from, ==, END + 2);
+	answer(0, 2);
+	g_assert_cmpuint(store.records, ==, 2);
+	keyed_feed_destroy(f);
+	process_close(&store.process);
+}
+
+/* A store that was lost is asked without a wait first. */
+static void
+test_read_begins_in_silence(void)
+{
+	struct keyed_feed *f = open_feed(true, 0);
+
+	fail(0);
+	run_loop(200 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 2);
+	g_assert_cmpint(store.reads[1].wait_us, ==, 0);
+	answer(1, 0);
+	run_loop(10 * USEC_PER_MSEC);
+	g_assert_cmpint(store.reads[2].wait_us, ==, POLL_US);
+	keyed_feed_destroy(f);
+	process_close(&store.process);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -168,5 +281,15 @@
 	    test_swallowed_read_leaves_feed_deaf);
 	g_test_add_func("/keyed_feed/lost_records_are_read_without_end",
 	    test_lost_records_are_read_without_end);
+	g_test_add_func("/keyed_feed/answered_check_leaves_read",
+	    test_answered_check_leaves_read);
+	g_test_add_func("/keyed_feed/silence_leaves_feed_deaf",
+	    test_silence_leaves_feed_deaf);
+	g_test_add_func("/keyed_feed/failed_check_drops_read",
+	    test_failed_check_drops_read);
+	g_test_add_func("/keyed_feed/lost_answer_leaves_feed_deaf",
+	    test_lost_answer_leaves_feed_deaf);
+	g_test_add_func(
+	    "/keyed_feed/read_begins_in_silence", test_read_begins_in_silence);
 	return g_test_run();
 }
