gateway, sidecar, coordination: the limit that a replica names holds for all gateways

What callers saw: nothing yet. A replica in need that had named 1.5 requests a second got 22 in 4 s (allowed 14).

Cause: no code read the limit. Each gateway alone could not keep to it either, as none knows what the others send.

The failing tests show 61 to 81 requests in 4 s where 11 or 17 are allowed.

The change: one meter counts for all gateways, the sidecar beside the replica or, for a plain service, one that all gateways choose alike. Each request to a limited replica needs a place, for now or at most 1.5 s ahead; the check stands where requests are put on the wire, so that it holds for retries, resumed streams, trials and what has waited. What gets no place goes to another replica, which may load the model, or is refused at once (429, not run) with the time of the next place. Limits and their ends are told to all gateways; the newest answer counts. Gateways that cannot reach the meter take turns by the wall clock, half of the limit together; a meter that starts waits until its predecessor's places are used. Nothing goes through the store.

In the tests, 429 counts as a refusal beside 503: both promise that the request has not run.

--- /dev/null
+++ b/src/coordination/limit_meter.c
@@ -0,0 +1,139 @@
+#include "coordination/limit_meter.h"
+
+#include <stdlib.h>
+
+#include <bsd/string.h>
+#include <uthash.h>
+
+#include "common/clock.h"
+#include "coordination/rate_limit.h"
+#include "protocol/fleet.h"
+
+#define ENTRIES_MAX 256 /* the one that was used least recently is dropped */
+
+struct limit_entry {
+	char id[FLEET_ID_MAX]; /* of the replica */
+	struct limit_news news; /* its replica is the id above */
+	struct rate_limit rate;
+	int64_t used_us; /* last news or request */
+	UT_hash_handle hh;
+};
+
+struct limit_meter {
+	int64_t created_us;
+	struct limit_entry *entries;
+};
+
+struct limit_meter *
+limit_meter_create(int64_t now_us)
+{
+	struct limit_meter *m = calloc(1, sizeof(*m));
+
+	if (m != NULL)
+		m->created_us = now_us;
+	return m;
+}
+
+static void
+remove_entry(struct limit_meter *m, struct limit_entry *e)
+{
+	HASH_DEL(m->entries, e);
+	free(e);
+}
+
+void
+limit_meter_destroy(struct limit_meter *m)
+{
+	struct limit_entry *e, *next;
+
+	if (m == NULL)
+		return;
+	HASH_ITER(hh, m->entries, e, next)
+		remove_entry(m, e);
+	free(m);
+}
+
+static void
+drop_oldest(struct limit_meter *m)
+{
+	struct limit_entry *e, *next, *oldest = NULL;
+
+	HASH_ITER(hh, m->entries, e, next) {
+		if (oldest == NULL || e->used_us < oldest->used_us)
+			oldest = e;
+	}
+	if (oldest != NULL)
+		remove_entry(m, oldest);
+}
+
+static struct limit_entry *
+get_entry(struct limit_meter *m, const struct limit_news *news)
+{
+	struct limit_entry *e;
+
+	HASH_FIND_STR(m->entries, news->replica, e);
+	if (e != NULL)
+		return e;
+	if (HASH_COUNT(m->entries) == ENTRIES_MAX)
+		drop_oldest(m);
+	e = calloc(1, sizeof(*e));
+	if (e == NULL)
+		abort();
+	strlcpy(e->id, news->replica, sizeof(e->id));
+	e->news.replica = e->id;
+	e->news.seen_us = INT64_MIN;
+	HASH_ADD_STR(m->entries, id, e);
+	return e;
+}
+
+static bool
+is_newer(const struct limit_news *a, const struct limit_news *b)
+{
+	if (a->born_ms != b->born_ms)
+		return a->born_ms > b->born_ms;
+	return a->seen_us > b->seen_us;
+}
+
+bool
+limit_meter_note(
+    struct limit_meter *m, const struct limit_news *news, int64_t now_us)
+{
+	struct limit_entry *e = get_entry(m, news);
+	bool changed = e->news.per_s != news->per_s;
+
+	e->used_us = now_us;
+	if (!is_newer(news, &e->news))
+		return false;
+	e->news = *news;
+	e->news.replica = e->id;
+	if (news->per_s > 0)
+		rate_limit_set(&e->rate, news->per_s, now_us,
+		    m->created_us + RATE_LIMIT_AHEAD_US);
+	return changed;
+}
+
+bool
+limit_meter_take(struct limit_meter *m, const struct limit_news *news,
+    int64_t now_us, int64_t ahead_us, int64_t *at_us, struct limit_news *newest)
+{
+	struct limit_entry *e;
+
+	(void)limit_meter_note(m, news, now_us);
+	e = get_entry(m, news);
+	*newest = e->news;
+	*at_us = now_us;
+	return e->news.per_s == 0 ||
+	       rate_limit_take(&e->rate, now_us, ahead_us, at_us);
+}
+
+void
+limit_meter_list(const struct limit_meter *m,
+    void (*each)(void *ctx, const struct limit_news *), void *ctx)
+{
+	struct limit_entry *e, *next;
+
+	HASH_ITER(hh, m->entries, e, next) {
+		if (e->news.per_s > 0)
+			each(ctx, &e->news);
+	}
+}
--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -12,6 +12,8 @@
 #define STEP_PER_REQUEST_US 150 /* added to a step by a running request */
 /* Traffic between data centres costs money and a round trip. */
 #define OTHER_ZONE_US 20000
+/* What a limited replica takes is kept for models that no other has. */
+#define LIMITED_US 100000
 /* Mean wait behind the prompt in prefill, at a prefill share of 1. */
 #define PREFILL_WAIT_US 250000
 /* At a higher prefill share the pauses in streams become too long. */
@@ -62,6 +64,7 @@
 	int64_t us =
 	    r->load_us + (int64_t)(work * q->prefill_factor * r->slowdown);
 
+	us += r->wait_us;
 	us += (int64_t)(r->prefill_share * PREFILL_WAIT_US);
 	us += (int64_t)(r->failure_share * FAILURE_US);
 	if (r->slots > 0 && r->running >= r->slots)
@@ -130,6 +133,8 @@
 
 	if (!r->same_zone)
 		us += OTHER_ZONE_US;
+	if (r->limited)
+		us += LIMITED_US;
 	if (r->load_us > 0 && r->victim_idle_us < VICTIM_WARM_US)
 		us += VICTIM_PENALTY_US -
 		      VICTIM_PENALTY_US * r->victim_idle_us / VICTIM_WARM_US;
@@ -186,7 +191,7 @@
 	for (size_t i = 0; i < count; i++) {
 		const struct select_replica *r = &replicas[i];
 
-		if (!r->usable || r->load_us != 0)
+		if (!r->usable || r->limited || r->load_us != 0)
 			continue;
 		loaded++;
 		if (!r->ejected && r->prefill_share < SCALE_OUT_PREFILL_SHARE)
@@ -210,7 +215,7 @@
 		const struct select_replica *r = &replicas[i];
 		int64_t cost;
 
-		if (!r->usable || r->ejected || r->load_us <= 0 ||
+		if (!r->usable || r->ejected || r->limited || r->load_us <= 0 ||
 		    r->load_us > load_max_us ||
 		    r->victim_idle_us < VICTIM_WARM_US ||
 		    r->prefill_share >= SCALE_OUT_PREFILL_SHARE)
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -138,8 +138,8 @@
 	return b->listed && !b->superseded && !b->entry.state.draining;
 }
 
-static struct backend *
-find_listed(struct backends *all, const char *id)
+struct backend *
+backends_find(struct backends *all, const char *id)
 {
 	struct backend *b;
 
@@ -252,7 +252,7 @@
 static void
 upsert_entry(struct backends *all, const struct replica_entry *e)
 {
-	struct backend *b = find_listed(all, e->id);
+	struct backend *b = backends_find(all, e->id);
 
 	if (b != NULL && (b->entry.state.born_ms != e->state.born_ms ||
 			     strcmp(b->entry.address, e->address) != 0 ||
@@ -278,7 +278,7 @@
 remove_entry(struct backends *all, const char *id)
 {
 	struct gateway *g = all->gateway;
-	struct backend *b = find_listed(all, id);
+	struct backend *b = backends_find(all, id);
 	int64_t since, now = clock_now(g->process.clock);
 	int64_t grace_us = g->settings.expiry_grace_ms * USEC_PER_MSEC;
 
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -17,6 +17,7 @@
 #include <bsd/sys/queue.h>
 
 #include "coordination/outlier.h"
+#include "coordination/rate_limit.h"
 #include "protocol/fleet.h"
 
 struct backends;
@@ -35,6 +36,16 @@
 	SLIST_ENTRY(backend_use) link;
 };
 
+/* The limit that a replica names, see limits.h. */
+struct backend_limit {
+	double per_s; /* requests, of all gateways; 0: none */
+	int64_t seen_us; /* when the answer came that named it, or none */
+	/* When a request may be sent next, as the meter said last. */
+	int64_t next_us;
+	int64_t meter_failed_us; /* when the meter last did not answer */
+	struct rate_share share; /* used without the meter */
+};
+
 /* Times are of the process's clock. */
 struct backend {
 	struct replica_entry entry; /* its state: from the sidecar or store */
@@ -53,6 +64,7 @@
 	int64_t avg_answer_us;
 	/* Measured over predicted time to the first token; moving average. */
 	double slowdown;
+	struct backend_limit limit;
 	/* From the sidecar's TM_REPLICA_HOLDS: */
 	bool holdings_known; /* entry.state's models and copies are from it */
 	/* The loaded models may differ from entry.state until then. */
@@ -107,6 +119,9 @@
 /* Number of loads from the weight store in progress, as sidecars report. */
 unsigned backends_store_loads(const struct backends *);
 
+/* The listed replica with this id; NULL: none. */
+struct backend *backends_find(struct backends *, const char *id);
+
 /* The backend after the given one; NULL starts and ends. */
 struct backend *backends_next(struct backends *, struct backend *);
 unsigned backends_count(const struct backends *);
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -12,8 +12,10 @@
 #include "coordination/model_rates.h"
 #include "coordination/model_prefill.h"
 #include "coordination/prefix_map.h"
+#include "coordination/rate_limit.h"
 #include "gateway/backends.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/limits.h"
 #include "gateway/sidecar_conns.h"
 #include "state/deployment.h"
 
@@ -87,6 +89,8 @@
 	r->prefill_share = b->holdings_known ? b->prefill_share : 0;
 	r->slowdown = b->slowdown;
 	r->failure_share = b->outlier.failure_share;
+	r->limited = b->limit.per_s > 0;
+	r->wait_us = limits_wait_us(b, now);
 	r->kv_free = b->holdings_known && b->entry.state.kv_total > 0
 			 ? b->entry.state.kv_total - b->kv_used
 			 : -1;
@@ -110,6 +114,17 @@
 	return service->max_conns == 0 || b->in_flight < service->max_conns;
 }
 
+/* Its limit makes a replica unusable if the next request must wait long. */
+static void
+check_limit(struct candidates *c, struct select_replica *r)
+{
+	if (r->wait_us <= RATE_LIMIT_AHEAD_US)
+		return;
+	r->usable = false;
+	if (c->limit_wait_us == 0 || r->wait_us < c->limit_wait_us)
+		c->limit_wait_us = r->wait_us;
+}
+
 struct candidates *
 candidates_list(struct gateway *g, const struct service_spec *service,
     const struct request_params *params, const uint64_t *tried,
@@ -124,6 +139,7 @@
 		: NULL;
 
 	c.count = 0;
+	c.limit_wait_us = 0;
 	c.query.model = params->model;
 	c.query.prompt_tokens = params->prompt_tokens;
 	c.query.parts = params->parts;
@@ -143,6 +159,8 @@
 		    backend_takes_work(b) &&
 		    !was_tried(b, tried, tried_count) &&
 		    below_connection_limit(b, service);
+		if (c.replicas[c.count].usable)
+			check_limit(&c, &c.replicas[c.count]);
 		c.backends[c.count++] = b;
 	}
 	return &c;
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -29,6 +29,9 @@
 	struct select_replica replicas[CANDIDATES_MAX];
 	struct backend *backends[CANDIDATES_MAX];
 	size_t count;
+	/* Until the first replica that is unusable by its limit alone takes a
+	 * request; 0: there is none. */
+	int64_t limit_wait_us;
 };
 
 /* Hash of the replica's id, for the list of replicas already tried. */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -53,6 +53,8 @@
 	TAILQ_REMOVE(&g->exchanges, x, link);
 	event_free(x->deadline_timer);
 	event_free(x->silence_timer);
+	if (x->limit_timer != NULL)
+		event_free(x->limit_timer);
 	evhttp_clear_headers(&x->headers);
 	deployment_unref(x->deployment);
 	free(x);
@@ -229,6 +231,7 @@
 	struct backend *backend; /* NULL: none */
 	struct select_choice selected;
 	uint32_t new_tokens; /* of the prompt, not cached there */
+	int64_t limit_wait_us; /* as of struct candidates */
 };
 
 static struct choice
@@ -238,7 +241,8 @@
 	struct candidates *c =
 	    candidates_list(g, service, &x->params, x->tried, x->tried_count);
 	struct choice choice = { .selected = select_replica(
-				     &c->query, c->replicas, c->count) };
+				     &c->query, c->replicas, c->count),
+		.limit_wait_us = c->limit_wait_us };
 	uint32_t prompt = x->params.prompt_tokens;
 
 	if (service->has_engine)
@@ -343,6 +347,11 @@
 	if (!exchange_passes_guard(x))
 		return;
 	choice = choose_backend(x, service);
+	if (choice.backend == NULL && choice.limit_wait_us > 0) {
+		exchange_refuse(x, RESULT_QUEUE_FULL,
+		    "its replicas take no more requests", choice.limit_wait_us);
+		return;
+	}
 	if (choice.backend == NULL && may_wait_for_replica(x)) {
 		x->waiting = true;
 		return;
@@ -361,7 +370,10 @@
 			    REFUSED_LOAD_REQUEST_US);
 		exchange_refuse(x, RESULT_DEADLINE_UNREACHABLE,
 		    "predicted first piece is too late",
-		    choice.selected.first_us);
+		    choice.limit_wait_us > 0 &&
+			    choice.limit_wait_us < choice.selected.first_us
+			? choice.limit_wait_us
+			: choice.selected.first_us);
 		return;
 	}
 	if (choice.selected.load_us > 0) {
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -16,6 +16,7 @@
 #include "gateway/backends.h"
 #include "gateway/crash_guard.h"
 #include "gateway/exchange_internal.h"
+#include "gateway/limits.h"
 #include "protocol/caller.h"
 #include "protocol/event_stream.h"
 #include "state/deployment.h"
@@ -143,6 +144,7 @@
 		    LF_S("replica", x->backend->entry.id));
 		return HTTP_RESPONSE_DISCARD;
 	}
+	limits_on_answer(x->gateway, x->backend, code, &meta);
 	x->code = code;
 	x->meta = meta;
 	x->relaying = x->route->kind == ROUTE_STREAM && code >= 200 &&
--- a/src/gateway/exchange_backend.c
+++ b/src/gateway/exchange_backend.c
@@ -53,6 +53,7 @@
 	if (b == NULL)
 		return;
 	event_del(x->silence_timer);
+	exchange_end_limit(x);
 	end_prefill(x);
 	b->in_flight--;
 	if (x->params.model[0] != '\0') {
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -51,6 +51,11 @@
 	struct http_call *call; /* NULL: not sent yet */
 	struct rpc_conn *prefill_conn; /* has a pending TM_READ call, or NULL */
 	uint64_t prefill_id; /* of the permit, asked for or held; 0: none */
+	struct rpc_conn *limit_conn; /* has a pending TM_LIMIT_TAKE, or NULL */
+	struct event *limit_timer; /* until limit_at_us; NULL: never needed */
+	bool limit_granted; /* it may be sent from limit_at_us on */
+	int64_t limit_at_us;
+	double limit_per_s; /* the replica's limit at the grant */
 	int64_t sent_us;
 	int64_t predicted_us; /* time to the first token */
 	uint32_t pending_tokens; /* its part of backend->pending_tokens */
@@ -126,6 +131,20 @@
  */
 bool exchange_is_connection_header(const char *name, const char *connection);
 
+/* Sends it to its replica, once the replica's limit allows it. */
+void exchange_send_now(struct exchange *);
+
+/* ---- exchange_limit.c ---- */
+
+/*
+ * Whether the request may be sent to its replica as far as the replica's limit
+ * is concerned.  Otherwise it is sent later by exchange_send_now(), or
+ * dispatched again, which may free the exchange.
+ */
+bool exchange_passes_limit(struct exchange *);
+/* Withdraws a request for a place, or gives the place up. */
+void exchange_end_limit(struct exchange *);
+
 /* ---- exchange_backend.c ---- */
 
 /* Counts the request at the replica until exchange_release(). */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -95,8 +95,8 @@
 	return x->route->rank < URGENCY_MAX ? (int)x->route->rank : URGENCY_MAX;
 }
 
-static void
-send_request(struct exchange *x)
+void
+exchange_send_now(struct exchange *x)
 {
 	struct gateway *g = x->gateway;
 	struct backend *b = x->backend;
@@ -124,6 +124,8 @@
 		.ctx = x,
 	};
 
+	if (!exchange_passes_limit(x))
+		return;
 	/* The prompt may have been found to crash replicas meanwhile. */
 	if (!exchange_passes_guard(x))
 		return;
@@ -165,13 +167,14 @@
 		return;
 	}
 	if (backend_takes_work(x->backend)) {
-		send_request(x);
+		exchange_send_now(x);
 		return;
 	}
 	exchange_release(x);
 	exchange_dispatch(x);
 }
 
+/* A limited replica gets too few prompts to need permits for them. */
 static bool
 request_prefill(struct exchange *x)
 {
@@ -185,7 +188,7 @@
 	};
 
 	if (x->pending_tokens < PREFILL_PERMIT_MIN_TOKENS ||
-	    exchange_left_us(x) < SEND_MIN_US)
+	    x->backend->limit.per_s > 0 || exchange_left_us(x) < SEND_MIN_US)
 		return false;
 	x->prefill_conn = sidecar_conns_request_prefill(
 	    g->sidecar_conns, x->backend, &args, on_prefill_reply, x);
@@ -201,5 +204,5 @@
 	x->predicted_us = predicted_us;
 	exchange_reserve(x, b, tokens);
 	if (!request_prefill(x))
-		send_request(x);
+		exchange_send_now(x);
 }
--- /dev/null
+++ b/src/gateway/limits.c
@@ -0,0 +1,80 @@
+#include "gateway/limits.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "gateway/backends.h"
+#include "gateway/gateway_internal.h"
+#include "gateway/sidecar_conns.h"
+#include "protocol/tm_xdr.h"
+
+#define HTTP_MISDIRECTED 421 /* another incarnation may have answered */
+
+static bool
+set_limit(struct gateway *g, struct backend *b, double per_s, int64_t seen_us,
+    const char *from)
+{
+	b->limit.seen_us = seen_us;
+	if (b->limit.per_s == per_s)
+		return false;
+	log_info(g->process.logger,
+	    per_s > 0 ? "replica limited" : "replica no longer limited",
+	    LF_S("replica", b->entry.id), LF_D("per_s", per_s),
+	    LF_D("was", b->limit.per_s), LF_S("from", from));
+	b->limit.per_s = per_s;
+	if (per_s == 0)
+		b->limit.next_us = 0;
+	return true;
+}
+
+void
+limits_on_answer(struct gateway *g, struct backend *b, int code,
+    const struct answer_meta *meta)
+{
+	if (meta->limit_per_s < 0) {
+		log_warn(g->process.logger, "limit cannot be read",
+		    LF_S("replica", b->entry.id));
+		return;
+	}
+	/* What is not certainly this replica's answer says nothing. */
+	if (code == HTTP_MISDIRECTED || (!meta->sealed && !meta->not_run) ||
+	    (meta->replica[0] != '\0' &&
+		strcmp(meta->replica, b->entry.id) != 0))
+		return;
+	if (set_limit(
+		g, b, meta->limit_per_s, clock_now(g->process.clock), "answer"))
+		sidecar_conns_send_limit(g->sidecar_conns, b);
+}
+
+void
+limits_on_news(struct gateway *g, const struct tm_limit *msg)
+{
+	struct backend *b = backends_find(g->backends, msg->replica);
+	int64_t seen_us = clock_now(g->process.clock) - msg->age_us;
+
+	if (b == NULL || b->entry.state.born_ms != msg->born_ms ||
+	    !isfinite(msg->per_s) || msg->per_s < 0 ||
+	    seen_us <= b->limit.seen_us)
+		return;
+	(void)set_limit(g, b, msg->per_s, seen_us, "sidecar");
+}
+
+void
+limits_fill_news(
+    const struct gateway *g, struct backend *b, struct tm_limit *msg)
+{
+	msg->replica = b->entry.id;
+	msg->born_ms = b->entry.state.born_ms;
+	msg->per_s = b->limit.per_s;
+	msg->age_us = clock_now(g->process.clock) - b->limit.seen_us;
+}
+
+int64_t
+limits_wait_us(const struct backend *b, int64_t now_us)
+{
+	return b->limit.per_s > 0 && b->limit.next_us > now_us
+		   ? b->limit.next_us - now_us
+		   : 0;
+}
--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <bsd/string.h>
+#include <xxhash.h>
 
 #include "common/addr.h"
 #include "common/clock.h"
@@ -15,6 +16,7 @@
 #include "gateway/backends.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/limits.h"
 #include "protocol/tm_xdr.h"
 #include "state/deployment.h"
 #include "transport/rpc.h"
@@ -29,12 +31,15 @@
 
 static void on_replica_holds(void *, struct rpc_call *, void *);
 static void on_replica_load(void *, struct rpc_call *, void *);
+static void on_limit(void *, struct rpc_call *, void *);
 
 static const struct rpc_handler handlers[] = {
 	{ TM_REPLICA_HOLDS, (xdrproc_t)xdr_tm_replica_holds,
 	    sizeof(struct tm_replica_holds), NULL, on_replica_holds, NULL },
 	{ TM_REPLICA_LOAD, (xdrproc_t)xdr_tm_replica_load,
 	    sizeof(struct tm_replica_load), NULL, on_replica_load, NULL },
+	{ TM_LIMIT, (xdrproc_t)xdr_tm_limit, sizeof(struct tm_limit), NULL,
+	    on_limit, NULL },
 	{ 0 },
 };
 
@@ -179,6 +184,14 @@
 	b->own_in_flight_at_report = b->in_flight;
 }
 
+static void
+on_limit(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct sidecar_conns *sc = ctx;
+
+	limits_on_news(sc->gateway, arg);
+}
+
 /* ---- connections ---- */
 
 static void
@@ -403,6 +416,68 @@
 		    b->conn, TM_READ_DONE, (xdrproc_t)xdr_tm_read_done, &msg);
 }
 
+/* ---- limits ---- */
+
+struct backend *
+sidecar_conns_meter(struct sidecar_conns *sc, struct backend *b)
+{
+	struct backend *other = NULL, *meter = NULL;
+	uint64_t seed = XXH3_64bits(b->entry.id, strlen(b->entry.id));
+	uint64_t most = 0;
+
+	if (has_sidecar(sc, b))
+		return b;
+	while ((other = backends_next(sc->gateway->backends, other)) != NULL) {
+		uint64_t weight = XXH3_64bits_withSeed(
+		    other->entry.id, strlen(other->entry.id), seed);
+
+		if (!other->listed || !has_sidecar(sc, other) ||
+		    (meter != NULL && weight <= most))
+			continue;
+		meter = other;
+		most = weight;
+	}
+	return meter;
+}
+
+unsigned
+sidecar_conns_gateways(const struct sidecar_conns *sc)
+{
+	unsigned least = (unsigned)sc->gateway->settings.retry_gateways;
+
+	if (least < 1)
+		least = 1;
+	return sc->gateways > least ? sc->gateways : least;
+}
+
+struct rpc_conn *
+sidecar_conns_take_limit(struct sidecar_conns *sc, struct backend *b,
+    const struct tm_limit_take *args, int64_t timeout_us,
+    void (*done)(void *, enum rpc_status, void *), void *ctx)
+{
+	struct backend *meter = sidecar_conns_meter(sc, b);
+
+	if (meter == NULL || meter->conn == NULL || meter->connecting)
+		return NULL;
+	rpc_conn_call(meter->conn, TM_LIMIT_TAKE, (xdrproc_t)xdr_tm_limit_take,
+	    args, (xdrproc_t)xdr_tm_limit_taken, sizeof(struct tm_limit_taken),
+	    timeout_us, done, ctx);
+	return meter->conn;
+}
+
+void
+sidecar_conns_send_limit(struct sidecar_conns *sc, struct backend *b)
+{
+	struct backend *meter = sidecar_conns_meter(sc, b);
+	struct tm_limit msg;
+
+	if (meter == NULL || meter->conn == NULL || meter->connecting)
+		return;
+	limits_fill_news(sc->gateway, b, &msg);
+	(void)rpc_conn_send(
+	    meter->conn, TM_LIMIT, (xdrproc_t)xdr_tm_limit, &msg);
+}
+
 struct sidecar_conns *
 sidecar_conns_create(struct gateway *g)
 {
--- a/src/gateway/sidecar_conns.h
+++ b/src/gateway/sidecar_conns.h
@@ -3,9 +3,9 @@
  *
  * A sidecar reports its replica's holdings (loaded models and local copies) and
  * load.  The gateway sends it the uses of each model, load requests, and
- * requests for prefill permits.  Every message carries its sender's deployment
- * version; the side that is behind requests the deployment on the same
- * connection.
+ * requests for prefill permits and for places within a replica's limit.  Every
+ * message carries its sender's deployment version; the side that is behind
+ * requests the deployment on the same connection.
  */
 #ifndef GATEWAY_SIDECAR_CONNS_H
 #define GATEWAY_SIDECAR_CONNS_H
@@ -18,6 +18,7 @@
 struct gateway;
 struct sidecar_conns;
 struct request_params;
+struct tm_limit_take;
 struct tm_read_args;
 
 struct sidecar_conns *sidecar_conns_create(struct gateway *);
@@ -49,6 +50,24 @@
 struct rpc_conn *sidecar_conns_request_prefill(struct sidecar_conns *,
     struct backend *, const struct tm_read_args *,
     void (*done)(void *ctx, enum rpc_status, void *reply), void *ctx);
+/*
+ * The listed replica whose sidecar meters the requests to this one: itself, or
+ * for a replica without a sidecar one that all gateways choose alike.  NULL if
+ * no replica has a sidecar.
+ */
+struct backend *sidecar_conns_meter(struct sidecar_conns *, struct backend *);
+/* Number of gateways, as far as sidecars have counted; at least 1. */
+unsigned sidecar_conns_gateways(const struct sidecar_conns *);
+/*
+ * Asks the meter of the replica for a place.  Returns the connection with the
+ * pending call, which done() ends with a struct tm_limit_taken, or NULL if the
+ * meter is not connected.
+ */
+struct rpc_conn *sidecar_conns_take_limit(struct sidecar_conns *,
+    struct backend *, const struct tm_limit_take *, int64_t timeout_us,
+    void (*done)(void *ctx, enum rpc_status, void *reply), void *ctx);
+/* Tells the meter of the replica its limit, if the meter is connected. */
+void sidecar_conns_send_limit(struct sidecar_conns *, struct backend *);
 /* Gives a permit back, or withdraws the request for it. */
 void sidecar_conns_prefill_done(struct backend *, uint64_t id);
 
--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -157,6 +157,11 @@
 	unsigned running; /* requests */
 	unsigned waiting; /* requests */
 	unsigned slots; /* requests that run at once */
+	/*
+	 * Requests a second that the replica takes from all gateways; 0: the
+	 * answer names no limit; negative: it cannot be read.
+	 */
+	double limit_per_s;
 };
 
 /* ---- the platform's store ---- */
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -582,6 +582,29 @@
 	tm_roster_entry entries<TM_LIST_MAX>;
 };
 
+/*
+ * One-way, between gateway and sidecar: what an answer of a replica has said of
+ * its limit.
+ */
+struct tm_limit {
+	tm_name replica;		/* id */
+	unsigned hyper born_ms;		/* start of its incarnation */
+	double per_s;			/* requests, of all gateways; 0: none */
+	hyper age_us;			/* since the answer came */
+};
+
+/* Gateway to the sidecar that meters a replica: places a request. */
+struct tm_limit_take {
+	tm_limit known;
+	hyper ahead_us;			/* longest wait */
+};
+
+struct tm_limit_taken {
+	bool granted;
+	hyper wait_us;			/* until it, or the next, may be sent */
+	tm_limit newest;
+};
+
 program TM_PROG {
 	version TM_V1 {
 		tm_hello_reply TM_HELLO(tm_hello_args) = 1;
@@ -613,5 +636,7 @@
 		tm_read_reply TM_READ(tm_read_args) = 26;
 		void TM_READ_DONE(tm_read_done) = 27;
 		tm_roster_reply TM_ROSTER(tm_roster_ask) = 28;
+		void TM_LIMIT(tm_limit) = 29;
+		tm_limit_taken TM_LIMIT_TAKE(tm_limit_take) = 30;
 	} = 1;
 } = 0x20746d31;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1384,3 +1384,45 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_tm_limit (XDR *xdrs, tm_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_tm_name (xdrs, &objp->replica))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->per_s))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_limit_take (XDR *xdrs, tm_limit_take *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_tm_limit (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->ahead_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_limit_taken (XDR *xdrs, tm_limit_taken *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wait_us))
+		 return FALSE;
+	 if (!xdr_tm_limit (xdrs, &objp->newest))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -687,6 +687,27 @@
 };
 typedef struct tm_roster_reply tm_roster_reply;
 
+struct tm_limit {
+	tm_name replica;
+	u_quad_t born_ms;
+	double per_s;
+	quad_t age_us;
+};
+typedef struct tm_limit tm_limit;
+
+struct tm_limit_take {
+	tm_limit known;
+	quad_t ahead_us;
+};
+typedef struct tm_limit_take tm_limit_take;
+
+struct tm_limit_taken {
+	bool_t granted;
+	quad_t wait_us;
+	tm_limit newest;
+};
+typedef struct tm_limit_taken tm_limit_taken;
+
 #define TM_PROG 0x20746d31
 #define TM_V1 1
 
@@ -775,6 +796,12 @@
 #define TM_ROSTER 28
 extern  tm_roster_reply * tm_roster_1(tm_roster_ask *, CLIENT *);
 extern  tm_roster_reply * tm_roster_1_svc(tm_roster_ask *, struct svc_req *);
+#define TM_LIMIT 29
+extern  void * tm_limit_1(tm_limit *, CLIENT *);
+extern  void * tm_limit_1_svc(tm_limit *, struct svc_req *);
+#define TM_LIMIT_TAKE 30
+extern  tm_limit_taken * tm_limit_take_1(tm_limit_take *, CLIENT *);
+extern  tm_limit_taken * tm_limit_take_1_svc(tm_limit_take *, struct svc_req *);
 extern int tm_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -862,6 +889,12 @@
 #define TM_ROSTER 28
 extern  tm_roster_reply * tm_roster_1();
 extern  tm_roster_reply * tm_roster_1_svc();
+#define TM_LIMIT 29
+extern  void * tm_limit_1();
+extern  void * tm_limit_1_svc();
+#define TM_LIMIT_TAKE 30
+extern  tm_limit_taken * tm_limit_take_1();
+extern  tm_limit_taken * tm_limit_take_1_svc();
 extern int tm_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -944,6 +977,9 @@
 extern  bool_t xdr_tm_roster_ask (XDR *, tm_roster_ask*);
 extern  bool_t xdr_tm_roster_entry (XDR *, tm_roster_entry*);
 extern  bool_t xdr_tm_roster_reply (XDR *, tm_roster_reply*);
+extern  bool_t xdr_tm_limit (XDR *, tm_limit*);
+extern  bool_t xdr_tm_limit_take (XDR *, tm_limit_take*);
+extern  bool_t xdr_tm_limit_taken (XDR *, tm_limit_taken*);
 
 #else /* K&R C */
 extern bool_t xdr_tm_id ();
@@ -1022,6 +1058,9 @@
 extern bool_t xdr_tm_roster_ask ();
 extern bool_t xdr_tm_roster_entry ();
 extern bool_t xdr_tm_roster_reply ();
+extern bool_t xdr_tm_limit ();
+extern bool_t xdr_tm_limit_take ();
+extern bool_t xdr_tm_limit_taken ();
 
 #endif /* K&R C */
 
--- a/src/sidecar/gateway_conns.c
+++ b/src/sidecar/gateway_conns.c
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "coordination/deployment_sync.h"
+#include "coordination/limit_meter.h"
 #include "coordination/prefill_gate.h"
 #include "coordination/swap.h"
 #include "protocol/tm_xdr.h"
@@ -50,6 +51,11 @@
 	    (xdrproc_t)xdr_tm_read_reply, on_prefill_request, NULL },
 	{ TM_READ_DONE, (xdrproc_t)xdr_tm_read_done,
 	    sizeof(struct tm_read_done), NULL, on_prefill_done, NULL },
+	{ TM_LIMIT, (xdrproc_t)xdr_tm_limit, sizeof(struct tm_limit), NULL,
+	    gateway_conns_on_limit, NULL },
+	{ TM_LIMIT_TAKE, (xdrproc_t)xdr_tm_limit_take,
+	    sizeof(struct tm_limit_take), (xdrproc_t)xdr_tm_limit_taken,
+	    gateway_conns_on_limit_take, NULL },
 	{ 0 },
 };
 
@@ -60,8 +66,8 @@
 	free(gw);
 }
 
-static struct gateway_conn *
-call_gateway(struct gateway_conns *gws, struct rpc_call *call)
+struct gateway_conn *
+gateway_conns_caller(struct gateway_conns *gws, struct rpc_call *call)
 {
 	struct rpc_conn *conn = rpc_call_conn(call);
 	struct gateway_conn *gw;
@@ -80,6 +86,7 @@
 	gws->count++;
 	log_info(gws->sidecar->process.logger, "gateway connected",
 	    LF_I("gateways", gws->count));
+	gateway_conn_send_limits(gws, gw);
 	return gw;
 }
 
@@ -132,7 +139,7 @@
 on_replica_use(void *ctx, struct rpc_call *call, void *arg)
 {
 	struct gateway_conns *gws = ctx;
-	struct gateway_conn *gw = call_gateway(gws, call);
+	struct gateway_conn *gw = gateway_conns_caller(gws, call);
 	const struct tm_replica_use *msg = arg;
 
 	if (gw == NULL)
@@ -156,7 +163,7 @@
 {
 	struct gateway_conns *gws = ctx;
 	const struct tm_replica_want *msg = arg;
-	struct gateway_conn *gw = call_gateway(gws, call);
+	struct gateway_conn *gw = gateway_conns_caller(gws, call);
 
 	if (gw == NULL)
 		return;
@@ -194,7 +201,7 @@
 	const struct tm_read_args *msg = arg;
 	int64_t now = clock_now(gws->sidecar->process.clock);
 	struct prefill_request req = {
-		.owner = call_gateway(gws, call),
+		.owner = gateway_conns_caller(gws, call),
 		.id = msg->id,
 		.tokens = msg->tokens,
 		.goal_us = now + msg->goal_left_us,
@@ -216,7 +223,7 @@
 	struct gateway_conns *gws = ctx;
 	const struct tm_read_done *msg = arg;
 	void *withdrawn = prefill_gate_done(
-	    gws->prefill_gate, call_gateway(gws, call), msg->id);
+	    gws->prefill_gate, gateway_conns_caller(gws, call), msg->id);
 
 	if (withdrawn != NULL)
 		reply_prefill(withdrawn, false);
@@ -380,7 +387,8 @@
 	gws->sidecar = sc;
 	TAILQ_INIT(&gws->list);
 	gws->prefill_gate = prefill_gate_create(&gate);
-	if (gws->prefill_gate == NULL) {
+	gws->limit_meter = limit_meter_create(clock_now(sc->process.clock));
+	if (gws->prefill_gate == NULL || gws->limit_meter == NULL) {
 		gateway_conns_destroy(gws);
 		return NULL;
 	}
@@ -404,5 +412,6 @@
 	if (gws->rpc != NULL)
 		rpc_destroy(gws->rpc);
 	prefill_gate_destroy(gws->prefill_gate);
+	limit_meter_destroy(gws->limit_meter);
 	free(gws);
 }
--- a/src/sidecar/gateway_conns_internal.h
+++ b/src/sidecar/gateway_conns_internal.h
@@ -10,8 +10,8 @@
 #include "sidecar/gateway_conns.h"
 #include "transport/rpc.h"
 
-/* Four of gateway_conns.c, two of deployment_sync, and the terminator. */
-#define GATEWAY_CONNS_HANDLERS 7
+/* Six of gateway_conns.c, two of deployment_sync, and the terminator. */
+#define GATEWAY_CONNS_HANDLERS 9
 
 /* A gateway's requests for one model and adapter. */
 struct gateway_use {
@@ -41,6 +41,7 @@
 	struct rpc *rpc;
 	unsigned count; /* of list */
 	struct prefill_gate *prefill_gate;
+	struct limit_meter *limit_meter;
 	struct tm_replica_load sent_load; /* the last load report */
 	int64_t load_sent_us;
 	uint64_t version; /* of the active deployment */
@@ -52,6 +53,20 @@
 	TAILQ_HEAD(, gateway_conn) list;
 };
 
+/* ---- gateway_conns.c ---- */
+
+/* The gateway that made the call; NULL once its connection is closed. */
+struct gateway_conn *gateway_conns_caller(
+    struct gateway_conns *, struct rpc_call *);
+
+/* ---- gateway_conns_limit.c ---- */
+
+/* Handlers of TM_LIMIT and TM_LIMIT_TAKE; ctx: struct gateway_conns. */
+void gateway_conns_on_limit(void *ctx, struct rpc_call *, void *args);
+void gateway_conns_on_limit_take(void *ctx, struct rpc_call *, void *args);
+/* Tells a gateway that has connected the limits in force. */
+void gateway_conn_send_limits(struct gateway_conns *, struct gateway_conn *);
+
 /* ---- gateway_conns_report.c ---- */
 
 void gateway_conn_send_load(struct gateway_conns *, struct gateway_conn *,
--- /dev/null
+++ b/src/sidecar/gateway_conns_limit.c
@@ -0,0 +1,122 @@
+/* Meters the limits of replicas for all gateways; see limit_meter.h. */
+#include <math.h>
+
+#include <bsd/sys/queue.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "coordination/limit_meter.h"
+#include "coordination/rate_limit.h"
+#include "sidecar/gateway_conns_internal.h"
+#include "sidecar/sidecar_internal.h"
+
+static int64_t
+now_us(const struct gateway_conns *gws)
+{
+	return clock_now(gws->sidecar->process.clock);
+}
+
+/* Returns -1 if the message makes no sense. */
+static int
+decode_news(const struct gateway_conns *gws, const struct tm_limit *msg,
+    struct limit_news *news)
+{
+	if (!isfinite(msg->per_s) || msg->per_s < 0 || msg->age_us < 0)
+		return -1;
+	*news = (struct limit_news){ .replica = msg->replica,
+		.born_ms = msg->born_ms,
+		.per_s = msg->per_s,
+		.seen_us = now_us(gws) - msg->age_us };
+	return 0;
+}
+
+static struct tm_limit
+encode_news(const struct gateway_conns *gws, const struct limit_news *news)
+{
+	return (struct tm_limit){ .replica = (char *)news->replica,
+		.born_ms = news->born_ms,
+		.per_s = news->per_s,
+		.age_us = now_us(gws) - news->seen_us };
+}
+
+static void
+send_news(const struct gateway_conns *gws, const struct gateway_conn *gw,
+    const struct limit_news *news)
+{
+	struct tm_limit msg = encode_news(gws, news);
+
+	(void)rpc_conn_send(gw->conn, TM_LIMIT, (xdrproc_t)xdr_tm_limit, &msg);
+}
+
+/* Passes a changed limit on to all gateways but the one that told it. */
+static void
+pass_on(struct gateway_conns *gws, const struct gateway_conn *from,
+    const struct limit_news *news)
+{
+	const struct gateway_conn *gw;
+
+	log_info(gws->sidecar->process.logger, "replica's limit",
+	    LF_S("replica", news->replica), LF_D("per_s", news->per_s));
+	TAILQ_FOREACH(gw, &gws->list, link) {
+		if (gw != from)
+			send_news(gws, gw, news);
+	}
+}
+
+void
+gateway_conns_on_limit(void *ctx, struct rpc_call *call, void *args)
+{
+	struct gateway_conns *gws = ctx;
+	struct gateway_conn *gw = gateway_conns_caller(gws, call);
+	struct limit_news news;
+
+	if (gw != NULL && decode_news(gws, args, &news) == 0 &&
+	    limit_meter_note(gws->limit_meter, &news, now_us(gws)))
+		pass_on(gws, gw, &news);
+}
+
+void
+gateway_conns_on_limit_take(void *ctx, struct rpc_call *call, void *args)
+{
+	struct gateway_conns *gws = ctx;
+	struct gateway_conn *gw = gateway_conns_caller(gws, call);
+	const struct tm_limit_take *msg = args;
+	int64_t now = now_us(gws), at;
+	struct limit_news news, newest;
+	struct tm_limit_taken reply;
+
+	if (decode_news(gws, &msg->known, &news) == -1) {
+		reply = (struct tm_limit_taken){ .newest = msg->known };
+		reply.wait_us = RATE_LIMIT_AHEAD_US;
+		rpc_call_reply(call, &reply);
+		return;
+	}
+	if (limit_meter_note(gws->limit_meter, &news, now))
+		pass_on(gws, gw, &news);
+	reply.granted = limit_meter_take(
+	    gws->limit_meter, &news, now, msg->ahead_us, &at, &newest);
+	reply.wait_us = at - now;
+	reply.newest = encode_news(gws, &newest);
+	rpc_call_reply(call, &reply);
+}
+
+struct new_gateway {
+	struct gateway_conns *gws;
+	struct gateway_conn *gw;
+};
+
+static void
+send_each(void *ctx, const struct limit_news *news)
+{
+	const struct new_gateway *new = ctx;
+
+	send_news(new->gws, new->gw, news);
+}
+
+void
+gateway_conn_send_limits(struct gateway_conns *gws, struct gateway_conn *gw)
+{
+	struct new_gateway new = { gws, gw };
+
+	limit_meter_list(gws->limit_meter, send_each, &new);
+}
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -101,6 +101,29 @@
 	g_assert_cmpint(select_replica(&long_prompt, r, 2).index, ==, -1);
 }
 
+/* What a limited replica takes is kept for models that only it has. */
+static void
+test_limited_replica_is_preferred(void)
+{
+	struct select_replica r[] = { replica("a"), replica("b"),
+		replica("c") };
+	struct select_query q = long_prompt;
+
+	r[0].limited = true;
+	g_assert_cmpint(select_replica(&q, r, 2).index, ==, 1);
+	r[1].pending_tokens = 30000;
+	g_assert_cmpint(select_replica(&q, r, 2).index, ==, 0);
+	r[0].wait_us = 1000000;
+	g_assert_cmpint(select_replica(&q, r, 2).index, ==, 1);
+	/* A further replica loads a model that only limited ones have. */
+	r[1].load_us = 1000000;
+	r[2].load_us = 1200000;
+	r[2].pending_tokens = 0;
+	g_assert_cmpint(select_scale_out(&q, r, 3), ==, 1);
+	r[1].limited = true;
+	g_assert_cmpint(select_scale_out(&q, r, 3), ==, 2);
+}
+
 static void
 test_scale_out(void)
 {
@@ -815,6 +838,8 @@
 	g_test_add_func("/selection/busy_or_cold", test_busy_or_cold_replica);
 	g_test_add_func("/selection/full", test_full_memory_and_slots);
 	g_test_add_func("/selection/ejected", test_ejected_as_last_resort);
+	g_test_add_func("/selection/limited_replica_is_preferred",
+	    test_limited_replica_is_preferred);
 	g_test_add_func("/selection/spread", test_scale_out);
 	g_test_add_func("/read_gate/streams", test_gate_bounds_event_gap);
 	g_test_add_func("/read_gate/order", test_gate_order);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -239,6 +239,42 @@
 	evhttp_clear_headers(&headers);
 }
 
+static void
+test_answer_limits(void)
+{
+	static const struct {
+		const char *text;
+		double limit;
+	} limits[] = {
+		{ "1.5", 1.5 },
+		{ "20 ", 20 },
+		{ "0.25", 0.25 },
+		{ "", -1 },
+		{ "none", -1 },
+		{ "-2", -1 },
+		{ "1,5", -1 },
+		{ "nan", -1 },
+		{ "inf", -1 },
+	};
+	struct evkeyvalq headers;
+	struct answer_meta meta;
+
+	TAILQ_INIT(&headers);
+	platform_decode_answer(&headers, 200, &meta);
+	g_assert_cmpfloat(meta.limit_per_s, ==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+		add_header(&headers, "Server-Limit", limits[i].text);
+		platform_decode_answer(&headers, 200, &meta);
+		g_assert_cmpfloat(meta.limit_per_s, ==, limits[i].limit);
+		evhttp_clear_headers(&headers);
+	}
+	/* A replica that takes nothing is limited. */
+	add_header(&headers, "Server-Limit", "0");
+	platform_decode_answer(&headers, 200, &meta);
+	g_assert_cmpfloat(meta.limit_per_s, >, 0);
+	evhttp_clear_headers(&headers);
+}
+
 /* ---- reads of the store ---- */
 
 struct store_read {
@@ -341,6 +377,7 @@
 	g_test_add_func("/platform/requests", test_requests);
 	g_test_add_func("/platform/forwarding", test_forwarding);
 	g_test_add_func("/platform/answers", test_answers);
+	g_test_add_func("/platform/answer_limits", test_answer_limits);
 	g_test_add_func("/platform/cut_store_read_skips_records",
 	    test_cut_store_read_skips_records);
 	return g_test_run();
