--- a/test/process/test_soak_platform.c
+++ b/test/process/test_soak_platform.c
@@ -1,8 +1,10 @@
 /*
  * Gateways and sidecars under load and random faults.  Guards against bookings
  * that run twice or although they were refused, streams that end incomplete
- * without an error, late answers, and gateways that don't recover.  Faults of
- * processes and of connections come from two threads, so that they overlap.
+ * without an error, late answers, gateways that don't recover, and replicas
+ * that get more requests than they name as their limit.  Faults of processes
+ * and of connections, limits and silences of the store come from several
+ * threads, so that they overlap.
  *
  * SOAK_SEED fixes the schedule of faults, SOAK_SECONDS the length.  With
  * SOAK_UNFRAMED set, streams without a length are broken off as well, which
@@ -30,6 +32,10 @@
 /* The timeout of the route, the longest fault, and 1 s. */
 #define LATEST_ANSWER_S (10 + FAULT_MAX_MS / 1000.0 + 1)
 #define BOOKINGS_MAX 20000
+/* A limit is judged from 3 s after it is first named. */
+#define LIMIT_MIN_MS 4000
+#define LIMIT_MAX_MS 8000
+#define LIMIT_MAX 5
 
 enum fault_kind {
 	KILL_GATEWAY,
@@ -318,6 +324,67 @@
 	return NULL;
 }
 
+/* The most requests in 4 s that the pages allow. */
+static int64_t
+limit_allows(int limit)
+{
+	return limit * 4 * 3 / 2 + 5;
+}
+
+static void
+wait_or_stop(int ms)
+{
+	int64_t end = now_ms() + ms;
+
+	while (now_ms() < end && !g_atomic_int_get(&soak.stop))
+		sleep_ms(50);
+}
+
+static void *
+name_limits(void *arg)
+{
+	GRand *rand = g_rand_new_with_seed(soak.seed * 100 + 98);
+
+	while (!g_atomic_int_get(&soak.stop)) {
+		int victim = g_rand_int_range(rand, 0, 100);
+		int limit = g_rand_int_range(rand, 1, LIMIT_MAX + 1);
+		const struct fleet_backend *b =
+		    victim % 2 == 0 ? &fleet.engines[victim % FLEET_ENGINES]
+				    : &fleet.services[victim % FLEET_SERVICES];
+		char *fault = g_strdup_printf("{\"limit\": %d}", limit);
+		int64_t most;
+
+		g_test_message("%s names a limit of %d", b->id, limit);
+		set_faults(b->address, fault);
+		g_free(fault);
+		wait_or_stop(
+		    g_rand_int_range(rand, LIMIT_MIN_MS, LIMIT_MAX_MS));
+		most = read_journal_int(b->address, "window_max");
+		if (most > limit_allows(limit))
+			g_error("seed %u: %s named a limit of %d and got %d",
+			    soak.seed, b->id, limit, (int)most);
+		set_faults(b->address, "{\"limit\": 0}");
+	}
+	g_rand_free(rand);
+	return NULL;
+}
+
+static void *
+silence_store(void *arg)
+{
+	GRand *rand = g_rand_new_with_seed(soak.seed * 100 + 97);
+
+	while (!g_atomic_int_get(&soak.stop)) {
+		wait_or_stop(g_rand_int_range(
+		    rand, FAULT_GAP_MIN_MS, 5 * FAULT_GAP_MAX_MS));
+		set_faults_for(fleet.store, "{\"silent\": true}",
+		    "{\"silent\": false}",
+		    g_rand_int_range(rand, FAULT_MIN_MS, FAULT_MAX_MS));
+	}
+	g_rand_free(rand);
+	return NULL;
+}
+
 /* ---- checks after the run ---- */
 
 /* No booking ran more than once, and none that was refused ran. */
@@ -372,7 +439,7 @@
 run_soak(guint32 seed, int64_t seconds)
 {
 	int64_t end = now_ms() + seconds * 1000;
-	GThread *callers[CALLERS], *conn_fault_thread;
+	GThread *callers[CALLERS], *conn_fault_thread, *limits, *silences;
 	GRand *rand;
 
 	memset(&soak, 0, sizeof(soak));
@@ -380,6 +447,8 @@
 	rand = g_rand_new_with_seed(soak.seed);
 	fleet_start_proxied();
 	conn_fault_thread = g_thread_new("links", inject_conn_faults, NULL);
+	limits = g_thread_new("limits", name_limits, NULL);
+	silences = g_thread_new("silences", silence_store, NULL);
 	for (guint i = 0; i < CALLERS; i++)
 		callers[i] =
 		    g_thread_new("caller", run_caller, GUINT_TO_POINTER(i));
@@ -395,6 +464,8 @@
 	for (guint i = 0; i < CALLERS; i++)
 		g_thread_join(callers[i]);
 	g_thread_join(conn_fault_thread);
+	g_thread_join(limits);
+	g_thread_join(silences);
 	check_recovery();
 	check_bookings();
 	g_test_message("seed %u: %u answered, %u refused, %u failed, %u booked",
