gateway: own turns no longer keep a gateway from asking the meter

Cause: the begin of the gateway's next own turn was kept where the meter's next place is kept, so that the replica looked full until then.

The test failed before with 16.1 s, and once with more than 30 s (bound 5 s).

The change: the two times are kept apart; the turns count only while the meter is not connected or has just failed to answer.

--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -42,8 +42,10 @@
 	int64_t seen_us; /* when the answer came that named it, or none */
 	/* When a request may be sent next, as the meter said last. */
 	int64_t next_us;
-	int64_t meter_failed_us; /* when the meter last did not answer */
-	struct rate_share share; /* used without the meter */
+	/* While the meter does not answer: */
+	int64_t meter_failed_us; /* since when */
+	struct rate_share share; /* this gateway's turns */
+	int64_t turn_us; /* when the next one begins */
 };
 
 /* Times are of the process's clock. */
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -69,7 +69,7 @@
 
 static void
 fill_replica(const struct gateway *g, const struct model_spec *spec,
-    const struct request_params *params, const struct backend *b, int64_t now,
+    const struct request_params *params, struct backend *b, int64_t now,
     struct select_replica *r)
 {
 	memset(r, 0, sizeof(*r));
@@ -90,7 +90,7 @@
 	r->slowdown = b->slowdown;
 	r->failure_share = b->outlier.failure_share;
 	r->limited = b->limit.per_s > 0;
-	r->wait_us = limits_wait_us(b, now);
+	r->wait_us = limits_wait_us(g, b, now);
 	r->kv_free = b->holdings_known && b->entry.state.kv_total > 0
 			 ? b->entry.state.kv_total - b->kv_used
 			 : -1;
--- a/src/gateway/exchange_limit.c
+++ b/src/gateway/exchange_limit.c
@@ -21,8 +21,6 @@
 /* A granted place is used by then; the gateway may have stood still. */
 #define GRANT_EXPIRY_US (500 * USEC_PER_MSEC)
 #define METER_TIMEOUT_US (300 * USEC_PER_MSEC)
-/* After a failure the meter is not asked for so long. */
-#define METER_RETRY_US (1 * USEC_PER_SEC)
 /*
  * Gateways that do not reach the meter share this part of the limit, since it
  * grants the whole limit to those that do.
@@ -63,11 +61,10 @@
 		    LF_D("per_s", x->limit_per_s), LF_I("wait_us", wait_us));
 }
 
-/* The replica takes no request before this time: another one may. */
+/* Its replica takes no request for some time: another one may. */
 static void
-refuse_place(struct exchange *x, int64_t next_us)
+choose_other(struct exchange *x)
 {
-	x->backend->limit.next_us = next_us;
 	exchange_release(x);
 	exchange_dispatch(x);
 }
@@ -90,10 +87,12 @@
 		return;
 	}
 	limits_on_news(g, &reply->newest);
-	if (reply->granted)
+	if (reply->granted) {
 		use_place(x, now + reply->wait_us);
-	else
-		refuse_place(x, now + reply->wait_us);
+		return;
+	}
+	x->backend->limit.next_us = now + reply->wait_us;
+	choose_other(x);
 }
 
 /* The predicted time includes the wait that was expected at the selection. */
@@ -102,7 +101,7 @@
 {
 	int64_t now = clock_now(x->gateway->process.clock);
 	int64_t left = exchange_left_us(x) - x->predicted_us +
-		       limits_wait_us(x->backend, now);
+		       limits_wait_us(x->gateway, x->backend, now);
 
 	return left < RATE_LIMIT_AHEAD_US ? left : RATE_LIMIT_AHEAD_US;
 }
@@ -114,9 +113,7 @@
 	struct backend *b = x->backend;
 	struct tm_limit_take args = { .ahead_us = longest_wait_us(x) };
 
-	if (b->limit.meter_failed_us != 0 &&
-	    clock_now(g->process.clock) - b->limit.meter_failed_us <
-		METER_RETRY_US)
+	if (!limits_has_meter(g, b, clock_now(g->process.clock)))
 		return false;
 	limits_fill_news(g, b, &args.known);
 	x->limit_conn = sidecar_conns_take_limit(
@@ -138,10 +135,12 @@
 	if (rate_share_take(&b->limit.share, per_s,
 		sidecar_conns_gateways(g->sidecar_conns),
 		XXH3_64bits(g->settings.vm, strlen(g->settings.vm)), wall,
-		longest_wait_us(x), &at))
+		longest_wait_us(x), &at)) {
 		use_place(x, now + at - wall);
-	else
-		refuse_place(x, now + at - wall);
+		return;
+	}
+	b->limit.turn_us = now + at - wall;
+	choose_other(x);
 }
 
 bool
--- a/src/gateway/limits.c
+++ b/src/gateway/limits.c
@@ -10,6 +10,8 @@
 #include "gateway/sidecar_conns.h"
 #include "protocol/tm_xdr.h"
 
+/* After a failure the meter is not asked for so long. */
+#define METER_RETRY_US (1 * USEC_PER_SEC)
 #define HTTP_MISDIRECTED 421 /* another incarnation may have answered */
 
 static bool
@@ -24,8 +26,10 @@
 	    LF_S("replica", b->entry.id), LF_D("per_s", per_s),
 	    LF_D("was", b->limit.per_s), LF_S("from", from));
 	b->limit.per_s = per_s;
-	if (per_s == 0)
+	if (per_s == 0) {
 		b->limit.next_us = 0;
+		b->limit.turn_us = 0;
+	}
 	return true;
 }
 
@@ -71,10 +75,22 @@
 	msg->age_us = clock_now(g->process.clock) - b->limit.seen_us;
 }
 
+bool
+limits_has_meter(const struct gateway *g, struct backend *b, int64_t now_us)
+{
+	return sidecar_conns_meter_connected(g->sidecar_conns, b) &&
+	       (b->limit.meter_failed_us == 0 ||
+		   now_us - b->limit.meter_failed_us >= METER_RETRY_US);
+}
+
 int64_t
-limits_wait_us(const struct backend *b, int64_t now_us)
+limits_wait_us(const struct gateway *g, struct backend *b, int64_t now_us)
 {
-	return b->limit.per_s > 0 && b->limit.next_us > now_us
-		   ? b->limit.next_us - now_us
-		   : 0;
+	int64_t next_us;
+
+	if (b->limit.per_s == 0)
+		return 0;
+	next_us = limits_has_meter(g, b, now_us) ? b->limit.next_us
+						 : b->limit.turn_us;
+	return next_us > now_us ? next_us - now_us : 0;
 }
--- a/src/gateway/limits.h
+++ b/src/gateway/limits.h
@@ -10,6 +10,7 @@
 #ifndef GATEWAY_LIMITS_H
 #define GATEWAY_LIMITS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct answer_meta;
@@ -28,7 +29,11 @@
 void limits_fill_news(
     const struct gateway *, struct backend *, struct tm_limit *);
 
+/* Whether the meter is connected, and has not just failed to answer. */
+bool limits_has_meter(const struct gateway *, struct backend *, int64_t now_us);
+
 /* Until the replica takes a request, as far as is known; 0: now. */
-int64_t limits_wait_us(const struct backend *, int64_t now_us);
+int64_t limits_wait_us(
+    const struct gateway *, struct backend *, int64_t now_us);
 
 #endif
--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -440,6 +440,21 @@
 	return meter;
 }
 
+/* The connection to the replica's meter; NULL if there is none. */
+static struct rpc_conn *
+meter_conn(struct sidecar_conns *sc, struct backend *b)
+{
+	const struct backend *meter = sidecar_conns_meter(sc, b);
+
+	return meter == NULL || meter->connecting ? NULL : meter->conn;
+}
+
+bool
+sidecar_conns_meter_connected(struct sidecar_conns *sc, struct backend *b)
+{
+	return meter_conn(sc, b) != NULL;
+}
+
 unsigned
 sidecar_conns_gateways(const struct sidecar_conns *sc)
 {
@@ -455,27 +470,26 @@
     const struct tm_limit_take *args, int64_t timeout_us,
     void (*done)(void *, enum rpc_status, void *), void *ctx)
 {
-	struct backend *meter = sidecar_conns_meter(sc, b);
+	struct rpc_conn *conn = meter_conn(sc, b);
 
-	if (meter == NULL || meter->conn == NULL || meter->connecting)
+	if (conn == NULL)
 		return NULL;
-	rpc_conn_call(meter->conn, TM_LIMIT_TAKE, (xdrproc_t)xdr_tm_limit_take,
-	    args, (xdrproc_t)xdr_tm_limit_taken, sizeof(struct tm_limit_taken),
+	rpc_conn_call(conn, TM_LIMIT_TAKE, (xdrproc_t)xdr_tm_limit_take, args,
+	    (xdrproc_t)xdr_tm_limit_taken, sizeof(struct tm_limit_taken),
 	    timeout_us, done, ctx);
-	return meter->conn;
+	return conn;
 }
 
 void
 sidecar_conns_send_limit(struct sidecar_conns *sc, struct backend *b)
 {
-	struct backend *meter = sidecar_conns_meter(sc, b);
+	struct rpc_conn *conn = meter_conn(sc, b);
 	struct tm_limit msg;
 
-	if (meter == NULL || meter->conn == NULL || meter->connecting)
+	if (conn == NULL)
 		return;
 	limits_fill_news(sc->gateway, b, &msg);
-	(void)rpc_conn_send(
-	    meter->conn, TM_LIMIT, (xdrproc_t)xdr_tm_limit, &msg);
+	(void)rpc_conn_send(conn, TM_LIMIT, (xdrproc_t)xdr_tm_limit, &msg);
 }
 
 struct sidecar_conns *
--- a/src/gateway/sidecar_conns.h
+++ b/src/gateway/sidecar_conns.h
@@ -10,6 +10,7 @@
 #ifndef GATEWAY_SIDECAR_CONNS_H
 #define GATEWAY_SIDECAR_CONNS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "transport/rpc.h"
@@ -56,6 +57,7 @@
  * no replica has a sidecar.
  */
 struct backend *sidecar_conns_meter(struct sidecar_conns *, struct backend *);
+bool sidecar_conns_meter_connected(struct sidecar_conns *, struct backend *);
 /* Number of gateways, as far as sidecars have counted; at least 1. */
 unsigned sidecar_conns_gateways(const struct sidecar_conns *);
 /*
--- a/test/process/test_limit.c
+++ b/test/process/test_limit.c
@@ -219,6 +219,52 @@
 	fleet_stop();
 }
 
+static bool
+is_served(void *ctx)
+{
+	struct response resp;
+	bool served;
+
+	(void)fleet_request(&resp, 0, "/stream/1", "m1");
+	served = resp.code == 200;
+	response_clear(&resp);
+	return served;
+}
+
+static bool
+is_refused(void *ctx)
+{
+	return !is_served(ctx);
+}
+
+/* For a sidecar to start and to be connected, and two places. */
+#define METER_BACK_MS 5000
+
+/* A gateway's turns come seldom, and the meter gives places when it is back. */
+static void
+test_turns_outlast_absence_of_meter(void)
+{
+	int64_t start_ms;
+
+	fleet_start();
+	for (int i = 0; i < FLEET_ENGINES; i++) {
+		proc_kill(&fleet.engines[i].sidecar);
+		proc_clear(&fleet.engines[i].sidecar);
+	}
+	set_limit(fleet.engines, FLEET_ENGINES, 0.5);
+	await_true(is_refused, NULL, "replicas limited, no turn soon");
+	start_ms = now_ms();
+	for (int i = 0; i < FLEET_ENGINES; i++) {
+		char *name = g_strdup_printf("sidecar-%d", i);
+
+		fleet_start_sidecar(&fleet.engines[i], name);
+		g_free(name);
+	}
+	await_true(is_served, NULL, "served by a place of the meter");
+	g_assert_cmpint(now_ms() - start_ms, <, METER_BACK_MS);
+	fleet_stop();
+}
+
 static void
 test_limit_outlasts_its_naming(void)
 {
@@ -250,6 +296,8 @@
 	    test_limit_is_broken_without_sidecars);
 	g_test_add_func("/limit/limit_is_broken_by_restarts",
 	    test_limit_is_broken_by_restarts);
+	g_test_add_func("/limit/turns_outlast_absence_of_meter",
+	    test_turns_outlast_absence_of_meter);
 	g_test_add_func(
 	    "/limit/limit_outlasts_its_naming", test_limit_outlasts_its_naming);
 	return g_test_run();
--- a/test/process/test_soak_platform.c
+++ b/test/process/test_soak_platform.c
@@ -490,6 +490,7 @@
 } failed[] = {
 	{ 1, "the replica stand-in used a stream of a disconnected caller" },
 	{ 2, "the proxy let bytes without a delay overtake delayed ones" },
+	{ 6021, "own turns kept a gateway from asking a meter that was back" },
 };
 
 static void
