test: one request that is repeated as a whole crashes replicas, failing

/crash_part/repeated_prompt_crashes_replica_after_replica: the same prompt, its last part included, comes again under new ids; plain_request_...: a request of a plain service does.

--- a/test/process/test_crash_part.c
+++ b/test/process/test_crash_part.c
@@ -1,7 +1,8 @@
 /*
- * Requests with one part in their prompts crash each replica that begins to
- * answer them.  Guards against gateways that send such requests to one replica
- * after the other, and against sound requests that are refused for them.
+ * Requests with one part in their prompts, or one request that is repeated as a
+ * whole, crash each replica that begins to answer them.  Guards against
+ * gateways that send such requests to one replica after the other, and against
+ * sound requests that are refused for them.
  */
 #include <stdio.h>
 #include <string.h>
@@ -190,6 +191,134 @@
 	fleet_stop();
 }
 
+/* ---- one request that is repeated as a whole ---- */
+
+#define WHOLE_CRASHES 3
+#define REPEATS 16
+#define REPEATED_PATH "/look/bad"
+
+static const char crash_path_fault[] =
+    "{\"crash_path\": \"" REPEATED_PATH "\", \"crash_ms\": 200}";
+
+/* The same prompt each time, with the part as its last one. */
+static void
+repeat_prompt(struct response *resp, int gateway)
+{
+	int number = g_atomic_int_add(&fleet.request_count, 1) + 1;
+	char *id = g_strdup_printf("Tamarackmast-Request-Id: r%d", number);
+	const char *headers[] = { "Host: h.example",
+		"Tamarackmast-Deadline-Ms: 10000", "Tamarackmast-Model: m1",
+		"Tamarackmast-Token-Count: 160,20", id,
+		"Tamarackmast-Prompt-Prefix: f1:100,500d:50," POISON ":10",
+		NULL };
+
+	http_call(resp, "GET", fleet.http_address[gateway], "/stream/1",
+	    headers, NULL);
+	g_free(id);
+}
+
+static void
+repeat_plain(struct response *resp, int gateway)
+{
+	(void)fleet_request(resp, gateway, REPEATED_PATH, NULL);
+}
+
+static bool
+service_is_listed(void *backend)
+{
+	const struct fleet_backend *b = backend;
+	char text[HARNESS_TEXT_SIZE + 64];
+
+	snprintf(text, sizeof(text),
+	    "\"msg\":\"replica listed\",\"replica\":\"%s\"", b->id);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		if (!proc_log_contains(&fleet.gateways[i], text))
+			return false;
+	}
+	return true;
+}
+
+static int64_t service_crashes_seen[FLEET_SERVICES];
+
+static void
+register_service_restarts(void)
+{
+	for (int i = 0; i < FLEET_SERVICES; i++) {
+		struct fleet_backend *b = &fleet.services[i];
+		int64_t crashes = read_journal_int(b->address, "crashes");
+
+		if (crashes == service_crashes_seen[i])
+			continue;
+		service_crashes_seen[i] = crashes;
+		fleet_write_key("keyed.servers", b->id, NULL);
+		snprintf(b->id, sizeof(b->id), "i-s%d.%d", i, (int)crashes);
+		fleet_write_replica(b, "app", "ready", 1000 + crashes);
+	}
+	for (int i = 0; i < FLEET_SERVICES; i++)
+		await_true(
+		    service_is_listed, &fleet.services[i], "replica listed");
+}
+
+/* Repeats the request at both gateways, before and after the bound. */
+static void
+check_repeats(const struct fleet_backend *list, int count,
+    void (*repeat)(struct response *, int gateway), void (*restart)(void))
+{
+	struct response resp;
+
+	for (int i = 0; i < REPEATS; i++) {
+		repeat(&resp, i % FLEET_GATEWAYS);
+		g_assert_cmpint(resp.code, !=, 200);
+		response_clear(&resp);
+		restart();
+	}
+	g_assert_cmpint((int)fleet_sum_journals(list, count, "poisoned"), <=,
+	    WHOLE_CRASHES + POISONED_MAX);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		repeat(&resp, i);
+		g_assert_cmpint(resp.code, ==, 503);
+		g_assert_cmpfloat(resp.seconds, <, ANSWER_MAX_S);
+		g_assert_cmpfloat(resp.retry_after_s, >, 0);
+		response_clear(&resp);
+	}
+}
+
+static void
+test_repeated_prompt_crashes_replica_after_replica(void)
+{
+	memset(crashes_seen, 0, sizeof(crashes_seen));
+	fleet_start();
+	run_sound_requests(20);
+	fleet_set_faults(fleet.engines, FLEET_ENGINES, crash_fault);
+	check_repeats(
+	    fleet.engines, FLEET_ENGINES, repeat_prompt, register_restarts);
+	/* Others with the same first parts are served. */
+	run_sound_requests(8);
+	fleet_stop();
+}
+
+static void
+test_plain_request_crashes_replica_after_replica(void)
+{
+	struct response resp;
+
+	memset(service_crashes_seen, 0, sizeof(service_crashes_seen));
+	fleet_start();
+	for (int i = 0; i < 20; i++) {
+		(void)fleet_request(&resp, i % FLEET_GATEWAYS, "/look/1", NULL);
+		response_clear(&resp);
+	}
+	fleet_set_faults(fleet.services, FLEET_SERVICES, crash_path_fault);
+	check_repeats(fleet.services, FLEET_SERVICES, repeat_plain,
+	    register_service_restarts);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		(void)fleet_request(&resp, i, "/look/1", NULL);
+		g_assert_cmpint(resp.code, ==, 200);
+		response_clear(&resp);
+	}
+	fleet_stop();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -198,5 +327,11 @@
 	    test_requests_crash_replica_after_replica);
 	g_test_add_func("/crash_part/part_stays_barred_by_mistake",
 	    test_part_stays_barred_by_mistake);
+	g_test_add_func(
+	    "/crash_part/repeated_prompt_crashes_replica_after_replica",
+	    test_repeated_prompt_crashes_replica_after_replica);
+	g_test_add_func(
+	    "/crash_part/plain_request_crashes_replica_after_replica",
+	    test_plain_request_crashes_replica_after_replica);
 	return g_test_run();
 }
