gateway, coordination: a request that is repeated as a whole and crashes replicas is barred

What callers saw: a request that callers repeat ended one replica after the other, 4 to 18 times after three had ended, with up to half of the requests of its kind beside it.

Cause: only parts that several prompts share could be barred. The last part of a prompt, which tells such a request from others, was exempted, and requests without a prompt had no parts at all. Parts of sound requests that were lost beside it were barred in its place.

The change: the request as a whole is one more part in the same policy, by a keyed hash of model, adapter and all parts, or without a prompt of method, host, path and body (gateway/request_hash.c, computed only while some request is lost). Losses of requests whose answers had begun do not count beside one that had not. A whole request needs half of the ends since its first loss, or four, as it bars no other; its trials come later. A part of several such requests takes their losses from five on. New losses reach the other gateways by way of a sidecar too (RPC procedure 31), also while the store is away.

Ruled out: barring the last part by itself (a session's other requests have it, and plain requests have none), and the same outage rule as for parts (with an outage of all replicas beside it, a repeated request reached replicas four times after the third crash in the replay, allowed three).

The older replays have callers that repeat now, and keep their bounds.

--- a/src/coordination/crash_parts.c
+++ b/src/coordination/crash_parts.c
@@ -8,6 +8,7 @@
 
 /* A request that is sent again after each crash must not bar its parts. */
 #define REQUESTS_MIN 2
+#define REQUEST_LOSSES_MIN 2 /* of one of several that speak against a part */
 #define CRASHES_KEPT 128 /* incarnations, the newest */
 
 struct part {
@@ -33,6 +34,7 @@
 struct crash {
 	uint64_t incarnation;
 	int64_t at_us;
+	bool unbegun; /* one of these requests had no answer yet */
 };
 
 struct crash_parts {
@@ -159,34 +161,66 @@
 }
 
 static bool
-is_explained(const struct crash_parts *cp, uint64_t incarnation)
+is_whole(const struct part *p)
+{
+	return p->loss_count > 0 && p->losses[0].position == CRASH_PARTS_WHOLE;
+}
+
+/* Whether a chosen part, with only_shared one of several requests, was lost. */
+static bool
+is_explained(
+    const struct crash_parts *cp, uint64_t incarnation, bool only_shared)
 {
 	for (unsigned i = 0; i < cp->chosen_count; i++) {
-		if (part_has_loss(cp->chosen[i], incarnation))
+		if (part_has_loss(cp->chosen[i], incarnation) &&
+		    !(only_shared && is_whole(cp->chosen[i])))
 			return true;
 	}
 	return false;
 }
 
+/* Returns crash_count if the incarnation is not known to have ended. */
+static unsigned
+find_crash(const struct crash_parts *cp, uint64_t incarnation)
+{
+	unsigned i = 0;
+
+	while (i < cp->crash_count && cp->crashes[i].incarnation != incarnation)
+		i++;
+	return i;
+}
+
+/* Another request, whose answer had not begun, was lost with the replica. */
+static bool
+was_beside(const struct crash_parts *cp, const struct crash_loss *l)
+{
+	unsigned i = find_crash(cp, l->incarnation);
+
+	return l->begun && i < cp->crash_count && cp->crashes[i].unbegun;
+}
+
 /* How strongly a part's losses speak against it; see choose_part(). */
 struct weight {
 	uint32_t position;
 	unsigned losses; /* not explained by another part */
 	unsigned requests; /* among these losses */
+	unsigned repeated; /* of these, lost REQUEST_LOSSES_MIN times */
 	int64_t since_us; /* time of the first of them */
 };
 
 static struct weight
-part_weigh(const struct crash_parts *cp, const struct part *p)
+part_weigh(const struct crash_parts *cp, const struct part *p, bool only_shared)
 {
 	struct weight w = { 0 };
 	uint64_t requests[CRASH_PARTS_LOSSES_KEPT];
+	unsigned counts[CRASH_PARTS_LOSSES_KEPT] = { 0 };
 
 	for (unsigned i = 0; i < p->loss_count; i++) {
 		const struct crash_loss *l = &p->losses[i];
 		unsigned seen = 0;
 
-		if (is_explained(cp, l->incarnation))
+		if (is_explained(cp, l->incarnation, only_shared) ||
+		    was_beside(cp, l))
 			continue;
 		if (w.losses++ == 0)
 			w.since_us = p->lost_us[i];
@@ -196,6 +230,7 @@
 			seen++;
 		if (seen == w.requests)
 			requests[w.requests++] = l->request;
+		w.repeated += ++counts[seen] == REQUEST_LOSSES_MIN;
 	}
 	return w;
 }
@@ -216,21 +251,36 @@
 {
 	unsigned crashes = 0; /* not explained, since the part's first loss */
 
-	if (w->losses < CRASH_PARTS_LOSSES || w->requests < REQUESTS_MIN)
+	if (w->losses < CRASH_PARTS_LOSSES ||
+	    (!is_whole(p) && w->requests < REQUESTS_MIN))
 		return false;
 	/* A barred part has no more losses, whatever else ends meanwhile. */
-	if (w->losses >= CRASH_PARTS_SURE || p->barred)
+	if (w->losses >=
+		(is_whole(p) ? CRASH_PARTS_SURE_WHOLE : CRASH_PARTS_SURE) ||
+	    p->barred)
 		return true;
 	for (unsigned i = 0; i < cp->crash_count; i++) {
 		const struct crash *c = &cp->crashes[i];
 
 		crashes += c->at_us >= w->since_us &&
-			   !is_explained(cp, c->incarnation);
+			   !is_explained(cp, c->incarnation, false);
 	}
-	return 3 * w->losses >= 2 * crashes;
+	return is_whole(p) ? 2 * w->losses >= crashes
+			   : 3 * w->losses >= 2 * crashes;
 }
 
-/* The part that is most to be barred; with only_barred, of those that are. */
+/* Whether several requests speak against it rather than each for itself. */
+static bool
+outweighs_requests(const struct part *p, const struct weight *w)
+{
+	return !is_whole(p) && w->losses >= CRASH_PARTS_SURE &&
+	       (w->repeated >= REQUESTS_MIN || w->requests > REQUESTS_MIN);
+}
+
+/*
+ * The part that is most to be barred; with only_barred, of those that are.  The
+ * losses of whole requests count for their parts too where several were lost.
+ */
 static struct part *
 choose_part(const struct crash_parts *cp, bool only_barred)
 {
@@ -243,9 +293,14 @@
 		if (p->chosen || p->loss_count < CRASH_PARTS_LOSSES ||
 		    (only_barred && !p->barred))
 			continue;
-		w = part_weigh(cp, p);
-		if (!is_to_be_barred(cp, p, &w))
-			continue;
+		w = part_weigh(cp, p, true);
+		if (outweighs_requests(p, &w)) {
+			w.position = UINT32_MAX;
+		} else {
+			w = part_weigh(cp, p, false);
+			if (!is_to_be_barred(cp, p, &w))
+				continue;
+		}
 		if (best == NULL || is_heavier(&w, &best_weight)) {
 			best = p;
 			best_weight = w;
@@ -299,16 +354,35 @@
 }
 
 static void
-note_crash(struct crash_parts *cp, uint64_t incarnation, int64_t now)
+note_crash(struct crash_parts *cp, const struct crash_loss *loss, int64_t now)
 {
-	for (unsigned i = 0; i < cp->crash_count; i++) {
-		if (cp->crashes[i].incarnation == incarnation)
-			return;
+	unsigned known = find_crash(cp, loss->incarnation);
+
+	if (known < cp->crash_count) {
+		cp->crashes[known].unbegun |= !loss->begun;
+		return;
 	}
 	if (cp->crash_count == CRASHES_KEPT)
 		memmove(&cp->crashes[0], &cp->crashes[1],
 		    --cp->crash_count * sizeof(cp->crashes[0]));
-	cp->crashes[cp->crash_count++] = (struct crash){ incarnation, now };
+	cp->crashes[cp->crash_count++] =
+	    (struct crash){ loss->incarnation, now, !loss->begun };
+}
+
+/* Of two losses with one incarnation, that of the answer not begun is kept. */
+static bool
+part_replace_begun(struct crash_parts *cp, struct part *p,
+    const struct crash_loss *loss, int64_t now)
+{
+	for (unsigned i = 0; i < p->loss_count; i++) {
+		if (p->losses[i].incarnation != loss->incarnation)
+			continue;
+		if (!p->losses[i].begun || loss->begun)
+			return false;
+		p->losses[i] = *loss;
+	}
+	update_barred(cp, now);
+	return true;
 }
 
 bool
@@ -317,12 +391,12 @@
 {
 	struct part *p;
 
-	note_crash(cp, loss->incarnation, now);
+	note_crash(cp, loss, now);
 	if (is_immune(cp, part_find(cp, loss->part), now))
 		return false;
 	p = part_use(cp, loss->part);
 	if (part_has_loss(p, loss->incarnation))
-		return false;
+		return part_replace_begun(cp, p, loss, now);
 	if (p->loss_count == 0)
 		limit_lost(cp);
 	else
@@ -368,6 +442,12 @@
 	p->tried_us = now;
 }
 
+bool
+crash_parts_any_lost(const struct crash_parts *cp)
+{
+	return cp->lost_count > 0;
+}
+
 bool
 crash_parts_is_immune(const struct crash_parts *cp, uint64_t id, int64_t now)
 {
@@ -402,9 +482,10 @@
 {
 	int64_t pause = cp->opts.trial_us;
 	int64_t since = p->barred_us;
+	/* A whole request keeps no other waiting. */
+	unsigned steps = p->trials + is_whole(p);
 
-	for (unsigned i = 0; i < p->trials && pause < cp->opts.trial_max_us;
-	     i++)
+	for (unsigned i = 0; i < steps && pause < cp->opts.trial_max_us; i++)
 		pause *= cp->opts.trial_factor;
 	if (pause > cp->opts.trial_max_us)
 		pause = cp->opts.trial_max_us;
--- a/src/coordination/crash_parts.h
+++ b/src/coordination/crash_parts.h
@@ -1,27 +1,35 @@
 /*
- * crash_parts -- finds the prompt parts that crash replicas.
+ * crash_parts -- finds the prompt parts, and the requests, that crash replicas.
  *
- * The load: requests with a certain part in their prompts crash each replica
- * that begins to answer them.  They come at any gateway, each with a last part
- * of its own, and are sent again after each crash.  A crash also loses the
- * sound requests that run on the replica; these share parts with the others,
- * above all the first ones.
+ * The load: requests with a certain part in their prompts, or one request that
+ * callers repeat as a whole, crash each replica that begins to answer them.
+ * They come at any gateway and are sent again after each crash.  A crash also
+ * loses the sound requests that run on the replica; these share parts with the
+ * others, above all the first ones, and most of them have begun to be answered.
+ *
+ * The request as a whole is treated as one more part, the last one, that all
+ * its repeats have and no other request (position CRASH_PARTS_WHOLE).
  *
  * A loss is a part, and the replica's incarnation that was lost with a request
  * of that part.  A part is barred once it was lost with CRASH_PARTS_LOSSES
- * incarnations, by two requests or more, and no request with it was answered
- * since, nor within the immunity before.  While other replicas end as well, as
- * in an outage of many, it must have been lost with two thirds of those that
- * ended since, or with CRASH_PARTS_SURE.  Losses of an incarnation that was
- * lost with a barred part count for no other part.  Of parts that share their
- * losses the one that comes later in the prompt is barred, as fewer requests
- * have it; if the other one is the cause, its losses go on.
+ * incarnations, by two different requests or more unless it is a whole one, and
+ * no request with it was answered since, nor within the immunity before.  While
+ * other replicas end as well, as in an outage of many, it must have been lost
+ * with two thirds of those that ended since, a whole request with half of them,
+ * or with CRASH_PARTS_SURE (CRASH_PARTS_SURE_WHOLE).  Not counted are losses of
+ * an incarnation that was lost with a barred part, and those of requests whose
+ * answers had begun, if one that had not begun was lost with the same
+ * incarnation.  Of parts that share their losses the one that comes later in
+ * the prompt is barred, as fewer requests have it; if the other one is the
+ * cause, its losses go on, and from CRASH_PARTS_SURE of them on those of whole
+ * requests count for it too.
  *
  * A part that was barred by mistake is found by trials: one request with no
- * other barred part is admitted, after a pause that grows with each trial.  An
- * answer clears the part.  Of the requests those with no other part that was
- * lost come first; the others must wait for twice the pause, as the cause may
- * be their other part.
+ * other barred part is admitted, after a pause that grows with each trial, and
+ * is longer for a whole request, which keeps no other waiting.  An answer
+ * clears the part.  Of the requests those with no other part that was lost come
+ * first; the others must wait for twice the pause, as the cause may be their
+ * other part.
  *
  * A pure policy: the caller passes the time, and shares losses, clearances and
  * trials among the gateways.  Memory is bounded; beyond it, the parts that were
@@ -36,7 +44,11 @@
 
 #define CRASH_PARTS_LOSSES 3 /* incarnations; bar a part */
 #define CRASH_PARTS_SURE 5 /* incarnations; do so whatever else ends */
+#define CRASH_PARTS_SURE_WHOLE                                                 \
+	4 /* for a whole request, as it bars no other                          \
+	   */
 #define CRASH_PARTS_LOSSES_KEPT 16 /* of one part, the newest */
+#define CRASH_PARTS_WHOLE 0x7fffffff /* position of a whole request */
 #define CRASH_PARTS_LOST_MAX 256 /* parts with losses */
 #define CRASH_PARTS_BARRED_MAX 16 /* parts at once */
 
@@ -54,8 +66,9 @@
 struct crash_loss {
 	uint64_t part; /* id */
 	uint64_t incarnation; /* hash */
-	uint64_t request; /* hash of its id */
+	uint64_t request; /* hash of it as a whole, equal for its repeats */
 	uint32_t position; /* of the part in the prompt, from 0 */
+	bool begun; /* its answer had begun */
 };
 
 enum crash_verdict {
@@ -87,6 +100,8 @@
 void crash_parts_tried(
     struct crash_parts *, uint64_t part, unsigned trials, int64_t now_us);
 
+/* Whether any part has losses. */
+bool crash_parts_any_lost(const struct crash_parts *);
 /* Whether the part is within the immunity after an answer. */
 bool crash_parts_is_immune(
     const struct crash_parts *, uint64_t part, int64_t now_us);
--- a/src/coordination/crash_records.c
+++ b/src/coordination/crash_records.c
@@ -30,10 +30,12 @@
 
 /* Values of records, in network byte order. */
 struct loss_value {
-	uint64_t request; /* hash of its id */
-	uint32_t position; /* of the part in the prompt, from 0 */
+	uint64_t request; /* hash of it as a whole */
+	uint32_t position; /* of the part in the prompt, from 0; and BEGUN */
 } __attribute__((packed));
 
+#define BEGUN 0x80000000U /* its answer had begun */
+
 struct trials_value {
 	uint32_t trials;
 } __attribute__((packed));
@@ -115,7 +117,8 @@
 crash_records_add_loss(struct crash_records *cr, const struct crash_loss *loss)
 {
 	struct loss_value value = { .request = htobe64(loss->request),
-		.position = htobe32(loss->position) };
+		.position =
+		    htobe32(loss->position | (loss->begun ? BEGUN : 0)) };
 	char key[KEY_SIZE];
 
 	format_key(key, loss->part, loss->incarnation);
@@ -263,7 +266,8 @@
 
 	memcpy(&value, data, sizeof(value));
 	loss.request = be64toh(value.request);
-	loss.position = be32toh(value.position);
+	loss.position = be32toh(value.position) & ~BEGUN;
+	loss.begun = (be32toh(value.position) & BEGUN) != 0;
 	cr->opts.lost(cr->opts.ctx, &loss);
 }
 
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -13,6 +13,8 @@
 #include "coordination/crash_records.h"
 #include "gateway/backends.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/sidecar_conns.h"
+#include "protocol/tm_xdr.h"
 
 #define MAX_PARTS 8192
 /* Replicas end for other reasons too: an answer this recent outweighs that. */
@@ -77,6 +79,21 @@
 	return p->part_count - 1;
 }
 
+/* Ids of the shared parts and of the whole request; returns their number. */
+static unsigned
+list_parts(const struct request_params *p, uint64_t *ids)
+{
+	unsigned count = shared_parts(p);
+
+	for (unsigned i = 0; i < count; i++)
+		ids[i] = p->parts[i].id;
+	if (p->whole != 0)
+		ids[count++] = p->whole;
+	return count;
+}
+
+#define PARTS_MAX (FLEET_PROMPT_PARTS_MAX + 1) /* of list_parts() */
+
 /* ---- log ---- */
 
 static bool
@@ -93,11 +110,13 @@
 log_part(const struct crash_guard *cg, const char *message, uint64_t part)
 {
 	struct crash_loss losses[CRASH_PARTS_LOSSES_KEPT];
+	size_t count = crash_parts_losses(cg->parts, part, losses);
 	char text[PART_TEXT_SIZE];
 
 	snprintf(text, sizeof(text), "%" PRIx64, part);
 	log_warn(cg->gateway->process.logger, message, LF_S("part", text),
-	    LF_I("losses", crash_parts_losses(cg->parts, part, losses)),
+	    LF_I("whole", count > 0 && losses[0].position == CRASH_PARTS_WHOLE),
+	    LF_I("losses", count),
 	    LF_I("trials", crash_parts_trials(cg->parts, part)));
 }
 
@@ -153,6 +172,43 @@
 	log_changes(cg);
 }
 
+/* ---- news of other gateways, by way of a sidecar ---- */
+
+void
+crash_guard_on_news(struct crash_guard *cg, const struct tm_crash *msg)
+{
+	const struct crash_loss loss = { .part = msg->part,
+		.incarnation = msg->incarnation,
+		.request = msg->request,
+		.position = msg->position,
+		.begun = msg->begun };
+
+	if (msg->cleared)
+		on_cleared(cg, msg->part);
+	else
+		on_lost(cg, &loss);
+}
+
+static void
+tell_loss(struct crash_guard *cg, const struct crash_loss *loss)
+{
+	struct tm_crash msg = { .part = loss->part,
+		.incarnation = loss->incarnation,
+		.request = loss->request,
+		.position = loss->position,
+		.begun = loss->begun };
+
+	sidecar_conns_send_crash(cg->gateway->sidecar_conns, &msg);
+}
+
+static void
+tell_cleared(struct crash_guard *cg, uint64_t part)
+{
+	struct tm_crash msg = { .part = part, .cleared = true };
+
+	sidecar_conns_send_crash(cg->gateway->sidecar_conns, &msg);
+}
+
 /* ---- losses and answers of this gateway ---- */
 
 static uint64_t
@@ -162,19 +218,33 @@
 	    b->entry.id, strlen(b->entry.id), b->entry.state.born_ms);
 }
 
+/* Others need to know at once what may end the next replica too. */
+static void
+add_loss(struct crash_guard *cg, const struct crash_loss *loss)
+{
+	if (!crash_parts_lost(cg->parts, loss, now_us(cg)))
+		return;
+	crash_records_add_loss(cg->records, loss);
+	if (!loss->begun)
+		tell_loss(cg, loss);
+}
+
 void
 crash_guard_lost(struct crash_guard *cg, const struct request_params *p,
-    const struct backend *b)
+    const struct backend *b, bool begun)
 {
 	struct crash_loss loss = { .incarnation = incarnation_of(b),
-		.request = XXH3_64bits(p->id, strlen(p->id)) };
+		.request = p->whole,
+		.begun = begun };
 
 	for (unsigned i = 0; i < shared_parts(p); i++) {
 		loss.part = p->parts[i].id;
 		loss.position = i;
-		if (crash_parts_lost(cg->parts, &loss, now_us(cg)))
-			crash_records_add_loss(cg->records, &loss);
+		add_loss(cg, &loss);
 	}
+	loss.part = p->whole;
+	loss.position = CRASH_PARTS_WHOLE;
+	add_loss(cg, &loss);
 	log_changes(cg);
 	crash_records_send(cg->records);
 }
@@ -194,12 +264,28 @@
 		crash_records_delete_trials(cg->records, part);
 }
 
+static bool
+has_losses(const struct crash_guard *cg, uint64_t part)
+{
+	struct crash_loss losses[CRASH_PARTS_LOSSES_KEPT];
+
+	return crash_parts_losses(cg->parts, part, losses) > 0;
+}
+
 static void
 clear_parts(struct crash_guard *cg, const struct request_params *p)
 {
-	for (unsigned i = 0; i < shared_parts(p); i++) {
-		delete_records(cg, p->parts[i].id);
-		crash_parts_clear(cg->parts, p->parts[i].id, now_us(cg));
+	uint64_t ids[PARTS_MAX];
+	unsigned count = list_parts(p, ids);
+
+	for (unsigned i = 0; i < count; i++) {
+		if (contains(cg->barred, cg->barred_count, ids[i]))
+			tell_cleared(cg, ids[i]);
+		/* Whole requests without losses would fill the table. */
+		if (ids[i] == p->whole && !has_losses(cg, p->whole))
+			continue;
+		delete_records(cg, ids[i]);
+		crash_parts_clear(cg->parts, ids[i], now_us(cg));
 	}
 	log_changes(cg);
 }
@@ -210,7 +296,7 @@
 {
 	struct unsure_answer *u = &cg->unsure[cg->next_unsure];
 
-	if (shared_parts(p) == 0)
+	if (shared_parts(p) == 0 && p->whole == 0)
 		return;
 	if (sure) {
 		clear_parts(cg, p);
@@ -282,11 +368,9 @@
 static struct crash_check
 check_parts(const struct crash_guard *cg, const struct request_params *p)
 {
-	uint64_t ids[FLEET_PROMPT_PARTS_MAX];
-	unsigned count = shared_parts(p);
+	uint64_t ids[PARTS_MAX];
+	unsigned count = list_parts(p, ids);
 
-	for (unsigned i = 0; i < count; i++)
-		ids[i] = p->parts[i].id;
 	return crash_parts_check(cg->parts, ids, count, now_us(cg));
 }
 
@@ -346,6 +430,12 @@
 	log_changes(cg);
 }
 
+bool
+crash_guard_is_idle(const struct crash_guard *cg)
+{
+	return !crash_parts_any_lost(cg->parts);
+}
+
 void
 crash_guard_read_again(struct crash_guard *cg)
 {
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -19,6 +19,7 @@
 #include "gateway/candidates.h"
 #include "gateway/crash_guard.h"
 #include "gateway/exchange_internal.h"
+#include "gateway/request_hash.h"
 #include "gateway/sidecar_conns.h"
 #include "protocol/caller.h"
 #include "protocol/problem.h"
@@ -311,11 +312,32 @@
 	       exchange_left_us(x) > WAIT_REPLICA_US;
 }
 
+void
+exchange_identify(struct exchange *x)
+{
+	struct evhttp_request *req = caller_request(x->caller);
+	const struct request_text text = {
+		.method = evhttp_request_get_command(req),
+		.host = evhttp_find_header(
+		    evhttp_request_get_input_headers(req), "Host"),
+		.path = evhttp_request_get_uri(req),
+		.body = x->body,
+		.body_len = x->body_len,
+	};
+
+	if (x->params.whole == 0)
+		x->params.whole =
+		    request_hash(&x->params, &text, x->gateway->settings.store);
+}
+
 bool
 exchange_passes_guard(struct exchange *x)
 {
 	int64_t wait_us;
 
+	if (!crash_guard_is_idle(x->gateway->crash_guard))
+		exchange_identify(x);
+
 	switch (
 	    crash_guard_check(x->gateway->crash_guard, &x->params, &wait_us)) {
 	case CRASH_ADMIT:
@@ -328,7 +350,7 @@
 		break;
 	}
 	exchange_refuse(x, RESULT_PROMPT_BARRED,
-	    "a part of its prompt crashes replicas", wait_us);
+	    "it, or a part of its prompt, crashes replicas", wait_us);
 	return false;
 }
 
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -287,15 +287,17 @@
 static void
 log_lost(const struct exchange *x)
 {
-	char parts[FLEET_PROMPT_PARTS_MAX * 17 + 1] = "";
+	char parts[FLEET_PROMPT_PARTS_MAX * 17 + 1] = "", whole[17];
 	size_t len = 0;
 
 	for (unsigned i = 0; i < x->params.part_count; i++)
 		len += (size_t)snprintf(parts + len, sizeof(parts) - len,
 		    "%s%" PRIx64, i == 0 ? "" : ",", x->params.parts[i].id);
+	snprintf(whole, sizeof(whole), "%" PRIx64, x->params.whole);
 	log_info(x->gateway->process.logger, "answer lost",
 	    LF_S("request", x->params.id),
 	    LF_S("replica", x->backend->entry.id), LF_S("parts", parts),
+	    LF_S("whole", whole), LF_S("adapter", x->params.adapter),
 	    LF_I("code", x->code), LF_I("has_event", x->has_event),
 	    LF_I("in_flight", x->backend->in_flight),
 	    LF_I("sent_for_us",
@@ -306,9 +308,13 @@
 static void
 lose_answer(struct exchange *x, const char *why)
 {
+	exchange_identify(x);
 	log_lost(x);
 	exchange_note_outcome(x, OUTLIER_FAILED);
-	crash_guard_lost(x->gateway->crash_guard, &x->params, x->backend);
+	/* Once an event or another whole answer has begun, it hardly crashes.
+	 */
+	crash_guard_lost(x->gateway->crash_guard, &x->params, x->backend,
+	    x->relaying ? x->has_event : x->code != 0);
 	exchange_release(x);
 	retry_or_fail(x, why);
 }
@@ -339,6 +345,8 @@
 	}
 	exchange_note_outcome(x, x->code >= 500 ? OUTLIER_ERROR : OUTLIER_OK);
 	update_avg_answer(x);
+	if (ok && !crash_guard_is_idle(x->gateway->crash_guard))
+		exchange_identify(x);
 	if (ok)
 		crash_guard_answered(x->gateway->crash_guard, &x->params,
 		    x->backend, !x->ended_by_close);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -93,6 +93,8 @@
  * refused, which frees the exchange, or waits for a trial without a replica.
  */
 bool exchange_passes_guard(struct exchange *);
+/* Computes params.whole unless that is done. */
+void exchange_identify(struct exchange *);
 /* Time until the deadline; negative once it has passed. */
 int64_t exchange_left_us(const struct exchange *);
 
--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -14,6 +14,7 @@
 #include "coordination/keyed_feed.h"
 #include "coordination/retry_budget.h"
 #include "gateway/backends.h"
+#include "gateway/crash_guard.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/limits.h"
@@ -32,6 +33,7 @@
 static void on_replica_holds(void *, struct rpc_call *, void *);
 static void on_replica_load(void *, struct rpc_call *, void *);
 static void on_limit(void *, struct rpc_call *, void *);
+static void on_crash(void *, struct rpc_call *, void *);
 
 static const struct rpc_handler handlers[] = {
 	{ TM_REPLICA_HOLDS, (xdrproc_t)xdr_tm_replica_holds,
@@ -40,6 +42,8 @@
 	    sizeof(struct tm_replica_load), NULL, on_replica_load, NULL },
 	{ TM_LIMIT, (xdrproc_t)xdr_tm_limit, sizeof(struct tm_limit), NULL,
 	    on_limit, NULL },
+	{ TM_CRASH, (xdrproc_t)xdr_tm_crash, sizeof(struct tm_crash), NULL,
+	    on_crash, NULL },
 	{ 0 },
 };
 
@@ -192,6 +196,14 @@
 	limits_on_news(sc->gateway, arg);
 }
 
+static void
+on_crash(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct sidecar_conns *sc = ctx;
+
+	crash_guard_on_news(sc->gateway->crash_guard, arg);
+}
+
 /* ---- connections ---- */
 
 static void
@@ -492,6 +504,20 @@
 	(void)rpc_conn_send(conn, TM_LIMIT, (xdrproc_t)xdr_tm_limit, &msg);
 }
 
+void
+sidecar_conns_send_crash(struct sidecar_conns *sc, const struct tm_crash *msg)
+{
+	struct backend *b = NULL;
+
+	while ((b = backends_next(sc->gateway->backends, b)) != NULL) {
+		if (b->conn == NULL || b->connecting)
+			continue;
+		(void)rpc_conn_send(
+		    b->conn, TM_CRASH, (xdrproc_t)xdr_tm_crash, msg);
+		return;
+	}
+}
+
 struct sidecar_conns *
 sidecar_conns_create(struct gateway *g)
 {
--- a/src/gateway/sidecar_conns.h
+++ b/src/gateway/sidecar_conns.h
@@ -19,6 +19,7 @@
 struct gateway;
 struct sidecar_conns;
 struct request_params;
+struct tm_crash;
 struct tm_limit_take;
 struct tm_read_args;
 
@@ -70,6 +71,8 @@
     void (*done)(void *ctx, enum rpc_status, void *reply), void *ctx);
 /* Tells the meter of the replica its limit, if the meter is connected. */
 void sidecar_conns_send_limit(struct sidecar_conns *, struct backend *);
+/* Tells the other gateways, by way of any sidecar that is connected. */
+void sidecar_conns_send_crash(struct sidecar_conns *, const struct tm_crash *);
 /* Gives a permit back, or withdraws the request for it. */
 void sidecar_conns_prefill_done(struct backend *, uint64_t id);
 
--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -126,6 +126,11 @@
 	bool more_parts; /* the prompt has parts after these */
 	bool resumes; /* continues a stream after last_event_id */
 	uint64_t last_event_id; /* only if resumes */
+	/*
+	 * Hash of the request as a whole, see gateway/request_hash.h; 0: not
+	 * computed.
+	 */
+	uint64_t whole;
 };
 
 /* What the headers of a request to a replica state. */
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -605,6 +605,20 @@
 	tm_limit newest;
 };
 
+/*
+ * One-way, between gateway and sidecar, which passes it on to the other
+ * gateways: a request was lost with a replica, or a part that was lost is sound.
+ * The fields are those of struct crash_loss.
+ */
+struct tm_crash {
+	unsigned hyper part;
+	unsigned hyper incarnation;
+	unsigned hyper request;
+	unsigned int position;
+	bool begun;
+	bool cleared;			/* only the part is set */
+};
+
 program TM_PROG {
 	version TM_V1 {
 		tm_hello_reply TM_HELLO(tm_hello_args) = 1;
@@ -638,5 +652,6 @@
 		tm_roster_reply TM_ROSTER(tm_roster_ask) = 28;
 		void TM_LIMIT(tm_limit) = 29;
 		tm_limit_taken TM_LIMIT_TAKE(tm_limit_take) = 30;
+		void TM_CRASH(tm_crash) = 31;
 	} = 1;
 } = 0x20746d31;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1426,3 +1426,23 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_tm_crash (XDR *xdrs, tm_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->position))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cleared))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -708,6 +708,16 @@
 };
 typedef struct tm_limit_taken tm_limit_taken;
 
+struct tm_crash {
+	u_quad_t part;
+	u_quad_t incarnation;
+	u_quad_t request;
+	u_int position;
+	bool_t begun;
+	bool_t cleared;
+};
+typedef struct tm_crash tm_crash;
+
 #define TM_PROG 0x20746d31
 #define TM_V1 1
 
@@ -802,6 +812,9 @@
 #define TM_LIMIT_TAKE 30
 extern  tm_limit_taken * tm_limit_take_1(tm_limit_take *, CLIENT *);
 extern  tm_limit_taken * tm_limit_take_1_svc(tm_limit_take *, struct svc_req *);
+#define TM_CRASH 31
+extern  void * tm_crash_1(tm_crash *, CLIENT *);
+extern  void * tm_crash_1_svc(tm_crash *, struct svc_req *);
 extern int tm_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -895,6 +908,9 @@
 #define TM_LIMIT_TAKE 30
 extern  tm_limit_taken * tm_limit_take_1();
 extern  tm_limit_taken * tm_limit_take_1_svc();
+#define TM_CRASH 31
+extern  void * tm_crash_1();
+extern  void * tm_crash_1_svc();
 extern int tm_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -980,6 +996,7 @@
 extern  bool_t xdr_tm_limit (XDR *, tm_limit*);
 extern  bool_t xdr_tm_limit_take (XDR *, tm_limit_take*);
 extern  bool_t xdr_tm_limit_taken (XDR *, tm_limit_taken*);
+extern  bool_t xdr_tm_crash (XDR *, tm_crash*);
 
 #else /* K&R C */
 extern bool_t xdr_tm_id ();
@@ -1061,6 +1078,7 @@
 extern bool_t xdr_tm_limit ();
 extern bool_t xdr_tm_limit_take ();
 extern bool_t xdr_tm_limit_taken ();
+extern bool_t xdr_tm_crash ();
 
 #endif /* K&R C */
 
--- a/src/sidecar/gateway_conns.c
+++ b/src/sidecar/gateway_conns.c
@@ -41,6 +41,7 @@
 static void on_load_request(void *, struct rpc_call *, void *);
 static void on_prefill_request(void *, struct rpc_call *, void *);
 static void on_prefill_done(void *, struct rpc_call *, void *);
+static void on_crash(void *, struct rpc_call *, void *);
 
 static const struct rpc_handler handlers[] = {
 	{ TM_REPLICA_USE, (xdrproc_t)xdr_tm_replica_use,
@@ -56,6 +57,8 @@
 	{ TM_LIMIT_TAKE, (xdrproc_t)xdr_tm_limit_take,
 	    sizeof(struct tm_limit_take), (xdrproc_t)xdr_tm_limit_taken,
 	    gateway_conns_on_limit_take, NULL },
+	{ TM_CRASH, (xdrproc_t)xdr_tm_crash, sizeof(struct tm_crash), NULL,
+	    on_crash, NULL },
 	{ 0 },
 };
 
@@ -242,6 +245,20 @@
 	answer_prefills(gws);
 }
 
+/* Passes it on to the other gateways, which are all connected here. */
+static void
+on_crash(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct gateway_conns *gws = ctx;
+	const struct gateway_conn *from = gateway_conns_caller(gws, call), *gw;
+
+	TAILQ_FOREACH(gw, &gws->list, link) {
+		if (gw != from)
+			(void)rpc_conn_send(
+			    gw->conn, TM_CRASH, (xdrproc_t)xdr_tm_crash, arg);
+	}
+}
+
 /*
  * Every message carries the version, so that a gateway that cannot reach the
  * store learns of a newer deployment.
--- a/test/unit/test_crash_parts.c
+++ b/test/unit/test_crash_parts.c
@@ -1,8 +1,9 @@
 /*
  * The policy that finds prompt parts which crash replicas.
  *
- * Replays its load: requests with one part end each replica that begins to
- * answer them, and the sound requests beside them are lost as well.
+ * Replays its load: requests with one part, or one request that is repeated as
+ * a whole, end each replica that begins to answer them, and the sound requests
+ * beside them are lost as well.
  */
 #include <string.h>
 
@@ -16,6 +17,7 @@
 #define POISON 2
 #define SOUND 100 /* and above: parts of sound requests */
 #define SOUND_PARTS 40
+#define WHOLE 1000000000 /* and above: requests as a whole */
 
 static const struct crash_parts_options opts = {
 	.max_parts = 64,
@@ -29,7 +31,8 @@
 lose(struct crash_parts *cp, uint64_t part, uint32_t position,
     uint64_t incarnation, uint64_t request, int64_t now)
 {
-	struct crash_loss loss = { part, incarnation, request, position };
+	struct crash_loss loss = { part, incarnation, request, position,
+		false };
 
 	(void)crash_parts_lost(cp, &loss, now);
 }
@@ -56,9 +59,15 @@
 #define RUN_US (2 * USEC_PER_SEC) /* of a sound request */
 #define ATTEMPTS 2
 
+#define REPEATED 7 /* the whole request that callers repeat */
+#define BEGUN_US (200 * USEC_PER_MSEC) /* until a sound answer begins */
+
 struct request {
-	uint64_t id; /* 0: free */
+	uint64_t id; /* 0: free; of the whole request, for a repeat too */
 	uint64_t part;
+	bool poisoned;
+	bool repeat; /* the caller's second attempt */
+	int64_t sent_us;
 	unsigned replica, attempts;
 	int64_t ends_us;
 };
@@ -76,6 +85,8 @@
 	int64_t outage_us;
 	unsigned sound, sound_refused, sound_answered;
 	unsigned poisoned_sent, poisoned_after_5;
+	/* Of the request REPEATED. */
+	unsigned repeated_crashes, repeated_after_3;
 };
 
 /* Sends the request to a replica that is up; returns false without one. */
@@ -83,8 +94,8 @@
 send_request(struct load *l, struct request *r)
 {
 	unsigned from = (unsigned)rng_below(&l->rng, REPLICAS);
-	const uint64_t parts[] = { FIRST, r->part };
-	struct crash_check c = crash_parts_check(l->cp, parts, 2, l->now);
+	const uint64_t parts[] = { FIRST, r->part, WHOLE + r->id };
+	struct crash_check c = crash_parts_check(l->cp, parts, 3, l->now);
 
 	if (c.verdict == CRASH_REFUSE)
 		return false;
@@ -99,22 +110,23 @@
 	if (l->now < l->up_us[r->replica])
 		return false;
 	r->attempts++;
-	r->ends_us = l->now + (r->part == POISON ? CRASH_US : RUN_US);
+	r->sent_us = l->now;
+	r->ends_us = l->now + (r->poisoned ? CRASH_US : RUN_US);
 	if (r->part == POISON) {
 		l->poisoned_sent++;
 		l->poisoned_after_5 += l->poison_crashes >= 5;
 	}
+	if (r->id == REPEATED)
+		l->repeated_after_3 += l->repeated_crashes >= 3;
 	return true;
 }
 
 static void
-start_request(struct load *l, uint64_t part)
+run_request(struct load *l, struct request r)
 {
-	struct request r = { .id = ++l->requests, .part = part };
-
-	l->sound += part != POISON;
+	l->sound += !r.poisoned;
 	if (!send_request(l, &r)) {
-		l->sound_refused += part != POISON;
+		l->sound_refused += !r.poisoned;
 		return;
 	}
 	for (unsigned i = 0; i < REQUESTS; i++) {
@@ -125,6 +137,51 @@
 	}
 }
 
+static void
+start_request(struct load *l, uint64_t part)
+{
+	run_request(l, (struct request){ .id = REPEATED + ++l->requests,
+			   .part = part,
+			   .poisoned = part == POISON });
+}
+
+/* Callers send the request with a sound part again and again. */
+static void
+repeat_request(struct load *l)
+{
+	run_request(l, (struct request){
+			   .id = REPEATED, .part = SOUND, .poisoned = true });
+}
+
+/* After its last attempt, the caller repeats it once. */
+static void
+repeat_lost(struct load *l, struct request *r)
+{
+	struct request again = *r;
+
+	r->id = 0;
+	if (again.repeat || again.id == REPEATED)
+		return;
+	again.repeat = true;
+	again.attempts = 0;
+	run_request(l, again);
+}
+
+static void
+lose_request(struct load *l, const struct request *r, uint64_t incarnation)
+{
+	struct crash_loss loss = { FIRST, incarnation, WHOLE + r->id, 0,
+		!r->poisoned && l->now - r->sent_us >= BEGUN_US };
+
+	(void)crash_parts_lost(l->cp, &loss, l->now);
+	loss.part = r->part;
+	loss.position = 1;
+	(void)crash_parts_lost(l->cp, &loss, l->now);
+	loss.part = WHOLE + r->id;
+	loss.position = CRASH_PARTS_WHOLE;
+	(void)crash_parts_lost(l->cp, &loss, l->now);
+}
+
 static void
 crash_replica(struct load *l, unsigned replica)
 {
@@ -138,10 +195,9 @@
 
 		if (r->id == 0 || r->replica != replica)
 			continue;
-		lose(l->cp, FIRST, 0, incarnation, r->id, l->now);
-		lose(l->cp, r->part, 1, incarnation, r->id, l->now);
+		lose_request(l, r, incarnation);
 		if (r->attempts >= ATTEMPTS || !send_request(l, r))
-			r->id = 0;
+			repeat_lost(l, r);
 	}
 }
 
@@ -153,9 +209,11 @@
 
 		if (r->id == 0 || l->now < r->ends_us)
 			continue;
-		if (r->part == POISON) {
-			if (l->poison_crashes++ == 0 && l->outage_us == -1)
+		if (r->poisoned) {
+			if (l->crashes == 0 && l->outage_us == -1)
 				l->outage_us = l->now + 200 * USEC_PER_MSEC;
+			l->poison_crashes += r->part == POISON;
+			l->repeated_crashes += r->id == REPEATED;
 			crash_replica(l, r->replica);
 			continue;
 		}
@@ -187,7 +245,8 @@
  * outage: soon after the first crash all replicas end for another reason.
  */
 static void
-replay(struct load *l, uint64_t seed, bool warm, bool outage)
+replay(struct load *l, uint64_t seed, bool warm, bool outage, bool part,
+    bool repeated)
 {
 	memset(l, 0, sizeof(*l));
 	l->outage_us = outage ? -1 : -2;
@@ -198,9 +257,12 @@
 	while (l->now < 100 * USEC_PER_SEC) {
 		if (rng_real(&l->rng) < 0.08)
 			start_request(l, pick_sound_part(l));
-		if (rng_real(&l->rng) < 0.03 &&
+		if (part && rng_real(&l->rng) < 0.03 &&
 		    (!warm || l->now > 8 * USEC_PER_SEC))
 			start_request(l, POISON);
+		if (repeated && rng_real(&l->rng) < 0.03 &&
+		    (!warm || l->now > 8 * USEC_PER_SEC))
+			repeat_request(l);
 		step(l);
 	}
 }
@@ -211,7 +273,7 @@
 	for (uint64_t seed = 1; seed <= 50; seed++) {
 		struct load l;
 
-		replay(&l, seed, seed % 2 == 0, outage);
+		replay(&l, seed, seed % 2 == 0, outage, true, false);
 		g_test_message("seed %d: %u crashes, %u with the part, %u of "
 			       "%u sound refused",
 		    (int)seed, l.crashes, l.poison_crashes, l.sound_refused,
@@ -240,8 +302,91 @@
 	check_replay(true);
 }
 
+/* One request that callers repeat, alone or beside requests with the part. */
+static void
+check_repeats(bool outage, bool part)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		struct load l;
+
+		replay(&l, seed, seed % 2 == 0, outage, part, true);
+		g_test_message("seed %d: %u crashes, %u by the repeated one, "
+			       "%u with the part, %u of %u sound refused",
+		    (int)seed, l.crashes, l.repeated_crashes, l.poison_crashes,
+		    l.sound_refused, l.sound);
+		g_assert_true(is_barred(l.cp, WHOLE + REPEATED));
+		g_assert_false(is_barred(l.cp, FIRST));
+		/* The users' bound on requests after the third crash. */
+		g_assert_cmpuint(l.repeated_after_3, <=, 3);
+		if (part)
+			g_assert_cmpuint(l.poisoned_after_5, <=, 3);
+		g_assert_cmpuint(2 * l.sound_refused, <, l.sound);
+		crash_parts_destroy(l.cp);
+	}
+}
+
+static void
+test_repeated_request(void)
+{
+	check_repeats(false, false);
+}
+
+static void
+test_repeated_request_with_outage(void)
+{
+	check_repeats(true, false);
+}
+
+static void
+test_repeated_request_and_part(void)
+{
+	check_repeats(false, true);
+}
+
 /* ---- single properties ---- */
 
+/* A request that was answered in part is not the one that ended the replica. */
+static void
+test_begun_answers_are_not_blamed(void)
+{
+	struct crash_parts *cp = crash_parts_create(&opts);
+
+	for (uint64_t i = 0; i < 4; i++) {
+		struct crash_loss loss = { SOUND, i, 20 + i, 1, true };
+
+		(void)crash_parts_lost(cp, &loss, 0);
+		lose(cp, WHOLE, CRASH_PARTS_WHOLE, i, WHOLE, 0);
+	}
+	g_assert_true(is_barred(cp, WHOLE));
+	g_assert_false(is_barred(cp, SOUND));
+	/* Alone, they are. */
+	for (uint64_t i = 10; i < 13; i++) {
+		struct crash_loss loss = { SOUND + 1, i, 30 + i, 1, true };
+
+		(void)crash_parts_lost(cp, &loss, 0);
+	}
+	g_assert_true(is_barred(cp, SOUND + 1));
+	crash_parts_destroy(cp);
+}
+
+/* Several requests with one part, each lost twice: the part is the cause. */
+static void
+test_part_of_several_repeated_requests(void)
+{
+	struct crash_parts *cp = crash_parts_create(&opts);
+
+	for (uint64_t i = 0; i < 5; i++) {
+		uint64_t request = i < 3 ? WHOLE : WHOLE + 1;
+
+		lose(cp, POISON, 1, i, request, 0);
+		lose(cp, request, CRASH_PARTS_WHOLE, i, request, 0);
+		if (i == 2)
+			g_assert_true(is_barred(cp, WHOLE));
+	}
+	g_assert_true(is_barred(cp, POISON));
+	crash_parts_destroy(cp);
+}
+
 /* The first part shares all losses of the poisoned one, and is not immune. */
 static void
 test_shared_part_is_not_barred(void)
@@ -405,6 +550,15 @@
 	g_test_add_func("/crash_parts/replay", test_replay);
 	g_test_add_func(
 	    "/crash_parts/replay_with_outage", test_replay_with_outage);
+	g_test_add_func("/crash_parts/repeated_request", test_repeated_request);
+	g_test_add_func("/crash_parts/repeated_request_with_outage",
+	    test_repeated_request_with_outage);
+	g_test_add_func("/crash_parts/repeated_request_and_part",
+	    test_repeated_request_and_part);
+	g_test_add_func("/crash_parts/begun_answers_are_not_blamed",
+	    test_begun_answers_are_not_blamed);
+	g_test_add_func("/crash_parts/part_of_several_repeated_requests",
+	    test_part_of_several_repeated_requests);
 	g_test_add_func("/crash_parts/outage", test_outage_bars_nothing);
 	g_test_add_func(
 	    "/crash_parts/shared_part", test_shared_part_is_not_barred);
