transport, gateway: an answer over the gateway's own limit is no crash

What could happen: an answer that the gateway cuts off itself, as too large or over the quota of all answers, counted as lost with its replica for the parts of its prompt, so that three such answers barred a sound part or request.

Cause: the HTTP client reports a body over its limits like a broken connection.

The change: the response says over_limit, and such an answer is not told to the crash guard. It still counts as a failed answer of the replica and is sent again or fails as before.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -304,17 +304,21 @@
 		clock_now(x->gateway->process.clock) - x->sent_us));
 }
 
-/* The replica broke its answer off, or its connection was lost. */
+/*
+ * The replica broke its answer off, or its connection was lost.  own_limit:
+ * this gateway broke it off, so that the request is not to blame.
+ */
 static void
-lose_answer(struct exchange *x, const char *why)
+lose_answer(struct exchange *x, const char *why, bool own_limit)
 {
 	exchange_identify(x);
 	log_lost(x);
 	exchange_note_outcome(x, OUTLIER_FAILED);
 	/* Once an event or another whole answer has begun, it hardly crashes.
 	 */
-	crash_guard_lost(x->gateway->crash_guard, &x->params, x->backend,
-	    x->relaying ? x->has_event : x->code != 0);
+	if (!own_limit)
+		crash_guard_lost(x->gateway->crash_guard, &x->params,
+		    x->backend, x->relaying ? x->has_event : x->code != 0);
 	exchange_release(x);
 	retry_or_fail(x, why);
 }
@@ -340,7 +344,7 @@
 		return;
 	}
 	if (is_broken_off(x, body)) {
-		lose_answer(x, "stream broken off");
+		lose_answer(x, "stream broken off", false);
 		return;
 	}
 	exchange_note_outcome(x, x->code >= 500 ? OUTLIER_ERROR : OUTLIER_OK);
@@ -386,7 +390,9 @@
 		return;
 	case HTTP_CALL_FAILED:
 	case HTTP_CALL_TIMED_OUT:
-		lose_answer(x, "answer lost");
+		lose_answer(x,
+		    resp->over_limit ? "answer is over a limit" : "answer lost",
+		    resp->over_limit);
 		return;
 	}
 }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -65,6 +65,11 @@
 	 * connection: a sender that broke it off looks the same.
 	 */
 	bool ended_by_close;
+	/*
+	 * Only if HTTP_CALL_FAILED: the body was over a limit of this client,
+	 * so that the server has not failed.
+	 */
+	bool over_limit;
 };
 
 enum http_response_verdict {
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -127,7 +127,8 @@
 void
 http_call_failed(struct http_call *call, enum http_call_status status)
 {
-	struct http_response resp = { .status = status };
+	struct http_response resp = { .status = status,
+		.over_limit = call->over_limit };
 
 	if (call->conn != NULL)
 		http_client_conn_close(call->conn);
@@ -294,7 +295,8 @@
 	}
 	evbuffer_add(call->body, at, len);
 	len = evbuffer_get_length(call->body);
-	return len > call->max_body || count_held(call, len) == -1 ? -1 : 0;
+	call->over_limit = len > call->max_body || count_held(call, len) == -1;
+	return call->over_limit ? -1 : 0;
 }
 
 static int
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -58,6 +58,7 @@
 	int code;
 	char body[256];
 	bool ended_by_close;
+	bool over_limit;
 	const char *accept_id; /* discards answers with another "Id" */
 	bool takes_chunks; /* but drains none of them */
 	size_t most_held; /* bytes that the client held for a call */
@@ -188,6 +189,7 @@
 	f->code = resp->code;
 	f->body[0] = '\0';
 	f->ended_by_close = resp->ended_by_close;
+	f->over_limit = resp->over_limit;
 	if (resp->body != NULL) {
 		len = evbuffer_get_length(resp->body);
 		g_assert_cmpuint(len, <, sizeof(f->body));
@@ -333,6 +335,7 @@
 	g_assert_cmpint(f.status, ==, status);
 	g_assert_cmpstr(f.body, ==, body);
 	g_assert_cmpint(f.ended_by_close, ==, ended_by_close);
+	g_assert_false(f.over_limit);
 	run_loop_briefly(&f);
 	close_fixture(&f);
 }
@@ -430,6 +433,7 @@
 	while (!f.done)
 		event_base_loop(f.base, EVLOOP_ONCE);
 	g_assert_cmpint(f.status, ==, HTTP_CALL_FAILED);
+	g_assert_true(f.over_limit);
 	g_assert_cmpuint(f.quota.used, >, 0);
 	g_assert_cmpuint(f.quota.used, <=, QUOTA + READ_BYTES);
 	close_fixture(&f);
