gateway, coordination: a request that lost two replicas goes where few others run

Cause: a request that has been lost twice was sent where its prompt is cached and its model is busiest, so that the next replica it ends took the most others with it.

The change: from two losses on, each request that runs on a replica costs the choice as much as a failed one (selection.c). The harness of the tests registers restarted replicas for both tests that had a copy of it.

Measured: /selection/suspect_takes_others_with_it.

--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -135,6 +135,8 @@
 		us += OTHER_ZONE_US;
 	if (r->limited)
 		us += LIMITED_US;
+	if (q->suspect)
+		us += (int64_t)r->running * FAILURE_US;
 	if (r->load_us > 0 && r->victim_idle_us < VICTIM_WARM_US)
 		us += VICTIM_PENALTY_US -
 		      VICTIM_PENALTY_US * r->victim_idle_us / VICTIM_WARM_US;
--- a/src/coordination/selection.h
+++ b/src/coordination/selection.h
@@ -50,6 +50,7 @@
 	uint32_t answer_tokens; /* expected */
 	double rate; /* requests per second for the model, at this gateway */
 	double prefill_factor; /* of the model, see model_prefill.h */
+	bool suspect; /* it may end the replica, and all that runs there */
 };
 
 struct select_choice {
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -14,6 +14,7 @@
 #include "coordination/prefix_map.h"
 #include "coordination/rate_limit.h"
 #include "gateway/backends.h"
+#include "gateway/crash_guard.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/limits.h"
 #include "gateway/sidecar_conns.h"
@@ -147,6 +148,7 @@
 	c.query.answer_tokens = params->expected_tokens != 0
 				    ? params->expected_tokens
 				    : params->max_tokens;
+	c.query.suspect = crash_guard_suspects(g->crash_guard, params);
 	c.query.rate = model_rates_get(g->request_rates, params->model, now);
 	c.query.prefill_factor =
 	    model_prefill_factor(g->prefill_factors, params->model);
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -34,6 +34,7 @@
 /* A crash shows within this time, as other requests fail there. */
 #define OUTLIVE_US (1 * USEC_PER_SEC)
 #define UNSURE_MAX 64 /* answers that wait for it */
+#define SUSPECT_LOSSES 2 /* of a whole request */
 #define PART_TEXT_SIZE 17 /* bytes, with the NUL */
 
 /* An answer that may have ended by a crash. */
@@ -430,6 +431,16 @@
 	log_changes(cg);
 }
 
+bool
+crash_guard_suspects(
+    const struct crash_guard *cg, const struct request_params *p)
+{
+	struct crash_loss losses[CRASH_PARTS_LOSSES_KEPT];
+
+	return p->whole != 0 && crash_parts_losses(cg->parts, p->whole,
+				    losses) >= SUSPECT_LOSSES;
+}
+
 bool
 crash_guard_is_idle(const struct crash_guard *cg)
 {
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -37,6 +37,10 @@
 /* Whether no request was lost: only otherwise are hashes of requests needed. */
 bool crash_guard_is_idle(const struct crash_guard *);
 
+/* Whether the request was lost so often that its next replica may end too. */
+bool crash_guard_suspects(
+    const struct crash_guard *, const struct request_params *);
+
 /* News of another gateway, by way of a sidecar. */
 void crash_guard_on_news(struct crash_guard *, const struct tm_crash *);
 
--- a/test/process/harness_fleet.c
+++ b/test/process/harness_fleet.c
@@ -72,6 +72,25 @@
 	g_free(doc);
 }
 
+void
+fleet_register_restarts(
+    struct fleet_backend *list, int count, const char *service)
+{
+	for (int i = 0; i < count; i++) {
+		struct fleet_backend *b = &list[i];
+		int64_t crashes = read_journal_int(b->address, "crashes");
+
+		if (crashes == b->crashes)
+			continue;
+		b->crashes = crashes;
+		fleet_write_key("keyed.servers", b->id, NULL);
+		b->id[strcspn(b->id, ".")] = '\0';
+		snprintf(b->id + strlen(b->id), sizeof(b->id) - strlen(b->id),
+		    ".%d", (int)crashes);
+		fleet_write_replica(b, service, "ready", 1000 + crashes);
+	}
+}
+
 /* ---- processes ---- */
 
 static void
--- a/test/process/harness_fleet.h
+++ b/test/process/harness_fleet.h
@@ -23,6 +23,7 @@
 	/* Its address in the store: the proxy's, if the fleet is proxied. */
 	char listed_address[HARNESS_TEXT_SIZE];
 	char proxy_control[HARNESS_TEXT_SIZE]; /* for set_faults() */
+	int64_t crashes; /* as of fleet_register_restarts() */
 	struct proc proxy;
 	struct proc replica;
 	struct proc sidecar;
@@ -72,6 +73,13 @@
 void fleet_write_replica(const struct fleet_backend *, const char *service,
     const char *state, int64_t born_ms);
 
+/*
+ * Writes the records of replicas that have crashed and come back as other
+ * instances, ID.1 and so on; changes their ids.
+ */
+void fleet_register_restarts(
+    struct fleet_backend *, int count, const char *service);
+
 /*
  * Sends a GET request with a deadline of 10 s; without a model header if model
  * is NULL.  Returns the number of the request, whose id is "r" and the number.
--- a/test/process/test_crash_part.c
+++ b/test/process/test_crash_part.c
@@ -24,8 +24,6 @@
 static const char crash_fault[] =
     "{\"crash_part\": \"" POISON "\", \"crash_ms\": 200}";
 
-static int64_t crashes_seen[FLEET_ENGINES];
-
 /* A request with the parts "f1", `part` and one of its own. */
 static void
 request_with_part(struct response *resp, int gateway, const char *part)
@@ -61,21 +59,10 @@
 	return true;
 }
 
-/* Writes the records of engines that have come back as other instances. */
 static void
 register_restarts(void)
 {
-	for (int i = 0; i < FLEET_ENGINES; i++) {
-		struct fleet_backend *b = &fleet.engines[i];
-		int64_t crashes = read_journal_int(b->address, "crashes");
-
-		if (crashes == crashes_seen[i])
-			continue;
-		crashes_seen[i] = crashes;
-		fleet_write_key("keyed.servers", b->id, NULL);
-		snprintf(b->id, sizeof(b->id), "i-e%d.%d", i, (int)crashes);
-		fleet_write_replica(b, "llm", "ready", 1000 + crashes);
-	}
+	fleet_register_restarts(fleet.engines, FLEET_ENGINES, "llm");
 	for (int i = 0; i < FLEET_ENGINES; i++)
 		await_true(gateways_list, &fleet.engines[i], "replica listed");
 }
@@ -131,7 +118,6 @@
 {
 	int64_t poisoned, sent;
 
-	memset(crashes_seen, 0, sizeof(crashes_seen));
 	fleet_start();
 	run_sound_requests(20);
 	fleet_set_faults(fleet.engines, FLEET_ENGINES, crash_fault);
@@ -178,7 +164,6 @@
 static void
 test_part_stays_barred_by_mistake(void)
 {
-	memset(crashes_seen, 0, sizeof(crashes_seen));
 	fleet_start();
 	fleet_set_faults(fleet.engines, FLEET_ENGINES, crash_fault);
 	crash_replicas(CRASHES);
@@ -238,22 +223,10 @@
 	return true;
 }
 
-static int64_t service_crashes_seen[FLEET_SERVICES];
-
 static void
 register_service_restarts(void)
 {
-	for (int i = 0; i < FLEET_SERVICES; i++) {
-		struct fleet_backend *b = &fleet.services[i];
-		int64_t crashes = read_journal_int(b->address, "crashes");
-
-		if (crashes == service_crashes_seen[i])
-			continue;
-		service_crashes_seen[i] = crashes;
-		fleet_write_key("keyed.servers", b->id, NULL);
-		snprintf(b->id, sizeof(b->id), "i-s%d.%d", i, (int)crashes);
-		fleet_write_replica(b, "app", "ready", 1000 + crashes);
-	}
+	fleet_register_restarts(fleet.services, FLEET_SERVICES, "app");
 	for (int i = 0; i < FLEET_SERVICES; i++)
 		await_true(
 		    service_is_listed, &fleet.services[i], "replica listed");
@@ -286,7 +259,6 @@
 static void
 test_repeated_prompt_crashes_replica_after_replica(void)
 {
-	memset(crashes_seen, 0, sizeof(crashes_seen));
 	fleet_start();
 	run_sound_requests(20);
 	fleet_set_faults(fleet.engines, FLEET_ENGINES, crash_fault);
@@ -302,7 +274,6 @@
 {
 	struct response resp;
 
-	memset(service_crashes_seen, 0, sizeof(service_crashes_seen));
 	fleet_start();
 	for (int i = 0; i < 20; i++) {
 		(void)fleet_request(&resp, i % FLEET_GATEWAYS, "/look/1", NULL);
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -124,6 +124,22 @@
 	g_assert_cmpint(select_scale_out(&q, r, 3), ==, 2);
 }
 
+/* A request that ended two replicas goes where its end takes the fewest. */
+static void
+test_suspect_takes_others_with_it(void)
+{
+	struct select_replica r[] = { replica("a"), replica("b") };
+	struct select_query q = long_prompt;
+
+	r[0].cached_tokens = 6000;
+	r[0].running = 3;
+	g_assert_cmpint(select_replica(&q, r, 2).index, ==, 0);
+	q.suspect = true;
+	g_assert_cmpint(select_replica(&q, r, 2).index, ==, 1);
+	r[1].running = 5;
+	g_assert_cmpint(select_replica(&q, r, 2).index, ==, 0);
+}
+
 static void
 test_scale_out(void)
 {
@@ -840,6 +856,8 @@
 	g_test_add_func("/selection/ejected", test_ejected_as_last_resort);
 	g_test_add_func("/selection/limited_replica_is_preferred",
 	    test_limited_replica_is_preferred);
+	g_test_add_func("/selection/suspect_takes_others_with_it",
+	    test_suspect_takes_others_with_it);
 	g_test_add_func("/selection/spread", test_scale_out);
 	g_test_add_func("/read_gate/streams", test_gate_bounds_event_gap);
 	g_test_add_func("/read_gate/order", test_gate_order);
