--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -29,8 +29,10 @@
 	struct select_replica replicas[CANDIDATES_MAX];
 	struct backend *backends[CANDIDATES_MAX];
 	size_t count;
-	/* Until the first replica that is unusable by its limit alone takes a
-	 * request; 0: there is none. */
+	/*
+	 * Time until one of the replicas that are unusable by their limits
+	 * alone takes a request; 0: there are none.
+	 */
 	int64_t limit_wait_us;
 };
 
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -311,14 +311,14 @@
 static void
 lose_answer(struct exchange *x, const char *why, bool own_limit)
 {
+	bool begun = x->relaying ? x->has_event : x->code != 0;
+
 	exchange_identify(x);
 	log_lost(x);
 	exchange_note_outcome(x, OUTLIER_FAILED);
-	/* Once an event or another whole answer has begun, it hardly crashes.
-	 */
 	if (!own_limit)
-		crash_guard_lost(x->gateway->crash_guard, &x->params,
-		    x->backend, x->relaying ? x->has_event : x->code != 0);
+		crash_guard_lost(
+		    x->gateway->crash_guard, &x->params, x->backend, begun);
 	exchange_release(x);
 	retry_or_fail(x, why);
 }
--- a/test/process/test_soak_platform.c
+++ b/test/process/test_soak_platform.c
@@ -385,6 +385,65 @@
 	return NULL;
 }
 
+/* The bounds of the pages: ends of replicas, and requests after them. */
+#define REPEATED_MAX (3 + 3)
+#define REPEATS 10
+
+/* One request that ends the engine that begins it, as callers repeat it. */
+static void
+repeat_deadly_request(GRand *rand, int cycle)
+{
+	int number = g_atomic_int_add(&fleet.request_count, 1) + 1;
+	char *id = g_strdup_printf("Tamarackmast-Request-Id: r%d", number);
+	char *parts = g_strdup_printf(
+	    "Tamarackmast-Prompt-Prefix: f1:100,dead%d:10", cycle);
+	const char *headers[] = { "Host: h.example",
+		"Tamarackmast-Deadline-Ms: 10000", "Tamarackmast-Model: m1",
+		"Tamarackmast-Token-Count: 110,20", id, parts, NULL };
+	struct response resp;
+
+	http_call(&resp, "GET",
+	    fleet.http_address[g_rand_int_range(rand, 0, FLEET_GATEWAYS)],
+	    "/stream/1", headers, NULL);
+	response_clear(&resp);
+	g_free(id);
+	g_free(parts);
+}
+
+static void *
+send_deadly_requests(void *arg)
+{
+	GRand *rand = g_rand_new_with_seed(soak.seed * 100 + 96);
+
+	for (int cycle = 0; !g_atomic_int_get(&soak.stop); cycle++) {
+		int64_t before = fleet_sum_journals(
+		    fleet.engines, FLEET_ENGINES, "poisoned");
+		char *fault = g_strdup_printf(
+		    "{\"crash_part\": \"dead%d\", \"crash_ms\": 200}", cycle);
+		int64_t sent;
+
+		wait_or_stop(g_rand_int_range(rand, 500, 3000));
+		fleet_set_faults(fleet.engines, FLEET_ENGINES, fault);
+		g_free(fault);
+		for (int i = 0; i < REPEATS && !g_atomic_int_get(&soak.stop);
+		     i++) {
+			repeat_deadly_request(rand, cycle);
+			fleet_register_restarts(
+			    fleet.engines, FLEET_ENGINES, "llm");
+			wait_or_stop(g_rand_int_range(rand, 10, 300));
+		}
+		sent = fleet_sum_journals(
+			   fleet.engines, FLEET_ENGINES, "poisoned") -
+		       before;
+		if (sent > REPEATED_MAX)
+			g_error("seed %u: a request that ends engines was run "
+				"%d times",
+			    soak.seed, (int)sent);
+	}
+	g_rand_free(rand);
+	return NULL;
+}
+
 /* ---- checks after the run ---- */
 
 /* No booking ran more than once, and none that was refused ran. */
@@ -439,16 +498,17 @@
 run_soak(guint32 seed, int64_t seconds)
 {
 	int64_t end = now_ms() + seconds * 1000;
-	GThread *callers[CALLERS], *conn_fault_thread, *limits, *silences;
+	GThread *callers[CALLERS], *others[4];
 	GRand *rand;
 
 	memset(&soak, 0, sizeof(soak));
 	soak.seed = seed;
 	rand = g_rand_new_with_seed(soak.seed);
 	fleet_start_proxied();
-	conn_fault_thread = g_thread_new("links", inject_conn_faults, NULL);
-	limits = g_thread_new("limits", name_limits, NULL);
-	silences = g_thread_new("silences", silence_store, NULL);
+	others[0] = g_thread_new("links", inject_conn_faults, NULL);
+	others[1] = g_thread_new("limits", name_limits, NULL);
+	others[2] = g_thread_new("silences", silence_store, NULL);
+	others[3] = g_thread_new("deadly", send_deadly_requests, NULL);
 	for (guint i = 0; i < CALLERS; i++)
 		callers[i] =
 		    g_thread_new("caller", run_caller, GUINT_TO_POINTER(i));
@@ -463,9 +523,8 @@
 	g_atomic_int_set(&soak.stop, 1);
 	for (guint i = 0; i < CALLERS; i++)
 		g_thread_join(callers[i]);
-	g_thread_join(conn_fault_thread);
-	g_thread_join(limits);
-	g_thread_join(silences);
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++)
+		g_thread_join(others[i]);
 	check_recovery();
 	check_bookings();
 	g_test_message("seed %u: %u answered, %u refused, %u failed, %u booked",
