coordination: of several causes the narrower part is barred, and a request beside another cause

Cause: parts from which the losses of whole requests are counted too all had the same weight, so that of two that share their losses the first in the list was barred, not the later part of the prompt. And a whole request that ran on the same replicas as a barred part had those losses explained away.

Evidence: /crash_parts/part_of_several_repeated_requests with the first part of all requests beside the bad one failed before.

The change: such parts keep their position among each other, before whole requests; a whole request is barred with four losses whatever explains them. The tests of the gateway have one function for a replica that leaves.

--- a/src/coordination/crash_parts.c
+++ b/src/coordination/crash_parts.c
@@ -8,6 +8,8 @@
 
 /* A request that is sent again after each crash must not bar its parts. */
 #define REQUESTS_MIN 2
+/* In a weight's position: the part comes before all whole requests. */
+#define BEFORE_WHOLE 0x80000000U
 #define REQUEST_LOSSES_MIN 2 /* of one of several that speak against a part */
 #define CRASHES_KEPT 128 /* incarnations, the newest */
 
@@ -166,14 +168,20 @@
 	return p->loss_count > 0 && p->losses[0].position == CRASH_PARTS_WHOLE;
 }
 
-/* Whether a chosen part, with only_shared one of several requests, was lost. */
+/* Chosen parts whose losses explain the end of a replica. */
+enum explained_by {
+	BY_ANY,
+	BY_SHARED, /* not by whole requests */
+	BY_NONE,
+};
+
 static bool
 is_explained(
-    const struct crash_parts *cp, uint64_t incarnation, bool only_shared)
+    const struct crash_parts *cp, uint64_t incarnation, enum explained_by by)
 {
-	for (unsigned i = 0; i < cp->chosen_count; i++) {
+	for (unsigned i = 0; by != BY_NONE && i < cp->chosen_count; i++) {
 		if (part_has_loss(cp->chosen[i], incarnation) &&
-		    !(only_shared && is_whole(cp->chosen[i])))
+		    !(by == BY_SHARED && is_whole(cp->chosen[i])))
 			return true;
 	}
 	return false;
@@ -209,7 +217,8 @@
 };
 
 static struct weight
-part_weigh(const struct crash_parts *cp, const struct part *p, bool only_shared)
+part_weigh(
+    const struct crash_parts *cp, const struct part *p, enum explained_by by)
 {
 	struct weight w = { 0 };
 	uint64_t requests[CRASH_PARTS_LOSSES_KEPT];
@@ -219,8 +228,7 @@
 		const struct crash_loss *l = &p->losses[i];
 		unsigned seen = 0;
 
-		if (is_explained(cp, l->incarnation, only_shared) ||
-		    was_beside(cp, l))
+		if (is_explained(cp, l->incarnation, by) || was_beside(cp, l))
 			continue;
 		if (w.losses++ == 0)
 			w.since_us = p->lost_us[i];
@@ -255,32 +263,35 @@
 	    (!is_whole(p) && w->requests < REQUESTS_MIN))
 		return false;
 	/* A barred part has no more losses, whatever else ends meanwhile. */
-	if (w->losses >=
-		(is_whole(p) ? CRASH_PARTS_SURE_WHOLE : CRASH_PARTS_SURE) ||
-	    p->barred)
+	if (w->losses >= CRASH_PARTS_SURE || p->barred)
 		return true;
 	for (unsigned i = 0; i < cp->crash_count; i++) {
 		const struct crash *c = &cp->crashes[i];
 
 		crashes += c->at_us >= w->since_us &&
-			   !is_explained(cp, c->incarnation, false);
+			   !is_explained(cp, c->incarnation, BY_ANY);
 	}
 	return is_whole(p) ? 2 * w->losses >= crashes
 			   : 3 * w->losses >= 2 * crashes;
 }
 
-/* Whether several requests speak against it rather than each for itself. */
+/*
+ * Whether a part is barred whatever chosen parts explain.  A whole request is
+ * after some losses, as two causes may have run on the same replicas; a shared
+ * part is if several requests speak against it rather than each for itself.
+ */
 static bool
-outweighs_requests(const struct part *p, const struct weight *w)
+is_sure(const struct crash_parts *cp, const struct part *p, struct weight *w)
 {
-	return !is_whole(p) && w->losses >= CRASH_PARTS_SURE &&
+	*w = part_weigh(cp, p, is_whole(p) ? BY_NONE : BY_SHARED);
+	if (is_whole(p))
+		return w->losses >= CRASH_PARTS_SURE_WHOLE;
+	w->position |= BEFORE_WHOLE;
+	return w->losses >= CRASH_PARTS_SURE &&
 	       (w->repeated >= REQUESTS_MIN || w->requests > REQUESTS_MIN);
 }
 
-/*
- * The part that is most to be barred; with only_barred, of those that are.  The
- * losses of whole requests count for their parts too where several were lost.
- */
+/* The part that is most to be barred; with only_barred, of those that are. */
 static struct part *
 choose_part(const struct crash_parts *cp, bool only_barred)
 {
@@ -293,11 +304,8 @@
 		if (p->chosen || p->loss_count < CRASH_PARTS_LOSSES ||
 		    (only_barred && !p->barred))
 			continue;
-		w = part_weigh(cp, p, true);
-		if (outweighs_requests(p, &w)) {
-			w.position = UINT32_MAX;
-		} else {
-			w = part_weigh(cp, p, false);
+		if (!is_sure(cp, p, &w)) {
+			w = part_weigh(cp, p, BY_ANY);
 			if (!is_to_be_barred(cp, p, &w))
 				continue;
 		}
--- a/src/coordination/crash_parts.h
+++ b/src/coordination/crash_parts.h
@@ -16,10 +16,11 @@
  * no request with it was answered since, nor within the immunity before.  While
  * other replicas end as well, as in an outage of many, it must have been lost
  * with two thirds of those that ended since, a whole request with half of them,
- * or with CRASH_PARTS_SURE (CRASH_PARTS_SURE_WHOLE).  Not counted are losses of
- * an incarnation that was lost with a barred part, and those of requests whose
- * answers had begun, if one that had not begun was lost with the same
- * incarnation.  Of parts that share their losses the one that comes later in
+ * or with CRASH_PARTS_SURE.  Not counted are losses of requests whose answers had
+ * begun, if one that had not begun was lost with the same incarnation, and those
+ * of an incarnation that was lost with a barred part; but a whole request is
+ * barred with CRASH_PARTS_SURE_WHOLE even so, as two causes may have run on the
+ * same replicas.  Of parts that share their losses the one that comes later in
  * the prompt is barred, as fewer requests have it; if the other one is the
  * cause, its losses go on, and from CRASH_PARTS_SURE of them on those of whole
  * requests count for it too.
@@ -44,9 +45,8 @@
 
 #define CRASH_PARTS_LOSSES 3 /* incarnations; bar a part */
 #define CRASH_PARTS_SURE 5 /* incarnations; do so whatever else ends */
-#define CRASH_PARTS_SURE_WHOLE                                                 \
-	4 /* for a whole request, as it bars no other                          \
-	   */
+/* The same for a whole request: it bars no other. */
+#define CRASH_PARTS_SURE_WHOLE 4
 #define CRASH_PARTS_LOSSES_KEPT 16 /* of one part, the newest */
 #define CRASH_PARTS_WHOLE 0x7fffffff /* position of a whole request */
 #define CRASH_PARTS_LOST_MAX 256 /* parts with losses */
--- a/src/coordination/rate_limit.c
+++ b/src/coordination/rate_limit.c
@@ -4,7 +4,7 @@
 #define BURST 2
 /* A lower limit is taken for this one, to bound the intervals. */
 #define MIN_PER_S 0.01
-/* A gateway's timers keep shorter turns badly. */
+/* Timers are late by so much that shorter turns would be missed. */
 #define TURN_MIN_US (250 * USEC_PER_MSEC)
 
 static double
--- a/src/gateway/exchange_limit.c
+++ b/src/gateway/exchange_limit.c
@@ -27,17 +27,23 @@
  */
 #define UNMETERED_SHARE 0.5
 
+/* Its replica takes no request now: another one may. */
+static void
+choose_other(struct exchange *x)
+{
+	exchange_release(x);
+	exchange_dispatch(x);
+}
+
 static void
 on_limit_timer(int fd, short what, void *arg)
 {
 	struct exchange *x = arg;
 
-	if (backend_takes_work(x->backend)) {
+	if (backend_takes_work(x->backend))
 		exchange_send_now(x);
-		return;
-	}
-	exchange_release(x);
-	exchange_dispatch(x);
+	else
+		choose_other(x);
 }
 
 /* The request may be sent at this time. */
@@ -61,14 +67,6 @@
 		    LF_D("per_s", x->limit_per_s), LF_I("wait_us", wait_us));
 }
 
-/* Its replica takes no request for some time: another one may. */
-static void
-choose_other(struct exchange *x)
-{
-	exchange_release(x);
-	exchange_dispatch(x);
-}
-
 static void
 on_taken(void *ctx, enum rpc_status status, void *arg)
 {
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -265,6 +265,18 @@
 	return drained_replica_is_unused(ctx);
 }
 
+/* A plain replica leaves, and gateways use it no more within the time. */
+static void
+check_leaving_is_heard(int64_t max_ms)
+{
+	int64_t start_ms = now_ms();
+
+	fleet_write_replica(&fleet.services[0], "app", "draining", 1000);
+	await_true(drained_replica_is_unused_under_load, NULL,
+	    "draining replica unused");
+	g_assert_cmpint(now_ms() - start_ms, <, max_ms);
+}
+
 /* The pages' bound of 2 s, and as much for a busy machine. */
 #define DEAF_MAX_MS 4000
 
@@ -275,7 +287,6 @@
 static void
 test_forgotten_read_leaves_gateway_deaf(void)
 {
-	int64_t start_ms;
 
 	fleet_start();
 	set_faults(fleet.store, "{\"forget_waiting\": \"keyed.servers\"}");
@@ -284,11 +295,7 @@
 	fleet_start_gateway(1);
 	await_true(
 	    fleet_gateway_ready, fleet.ready_address[1], "gateway ready");
-	start_ms = now_ms();
-	fleet_write_replica(&fleet.services[0], "app", "draining", 1000);
-	await_true(drained_replica_is_unused_under_load, NULL,
-	    "draining replica unused");
-	g_assert_cmpint(now_ms() - start_ms, <, DEAF_MAX_MS);
+	check_leaving_is_heard(DEAF_MAX_MS);
 	fleet_stop();
 }
 
@@ -303,7 +310,6 @@
 static void
 test_silence_leaves_all_gateways_deaf(void)
 {
-	int64_t start_ms;
 
 	fleet_start();
 	/* Reads are answered, and the next ones begin in the silence. */
@@ -311,11 +317,7 @@
 	set_faults(fleet.store, "{\"silent\": true}");
 	await_true(reads_are_swallowed, NULL, "reads swallowed");
 	set_faults(fleet.store, "{\"silent\": false}");
-	start_ms = now_ms();
-	fleet_write_replica(&fleet.services[0], "app", "draining", 1000);
-	await_true(drained_replica_is_unused_under_load, NULL,
-	    "draining replica unused");
-	g_assert_cmpint(now_ms() - start_ms, <, DEAF_MAX_MS);
+	check_leaving_is_heard(DEAF_MAX_MS);
 	fleet_stop();
 }
 
@@ -348,16 +350,11 @@
 test_lost_answers_leave_all_gateways_deaf(void)
 {
 	struct settled settled = { 0 };
-	int64_t start_ms;
 
 	fleet_start();
 	await_true(reads_have_settled, &settled, "reads wait");
 	set_faults(fleet.store, "{\"forget_waiting\": \"keyed.servers\"}");
-	start_ms = now_ms();
-	fleet_write_replica(&fleet.services[0], "app", "draining", 1000);
-	await_true(drained_replica_is_unused_under_load, NULL,
-	    "draining replica unused");
-	g_assert_cmpint(now_ms() - start_ms, <, LOST_ANSWER_MAX_MS);
+	check_leaving_is_heard(LOST_ANSWER_MAX_MS);
 	fleet_stop();
 }
 
--- a/test/unit/test_crash_parts.c
+++ b/test/unit/test_crash_parts.c
@@ -378,12 +378,14 @@
 	for (uint64_t i = 0; i < 5; i++) {
 		uint64_t request = i < 3 ? WHOLE : WHOLE + 1;
 
+		lose(cp, FIRST, 0, i, request, 0);
 		lose(cp, POISON, 1, i, request, 0);
 		lose(cp, request, CRASH_PARTS_WHOLE, i, request, 0);
 		if (i == 2)
 			g_assert_true(is_barred(cp, WHOLE));
 	}
 	g_assert_true(is_barred(cp, POISON));
+	g_assert_false(is_barred(cp, FIRST));
 	crash_parts_destroy(cp);
 }
 
