coordination: crash records are not checked by a read of their own

The change: the feed of crash records has no check. It reads anew when that of the replicas notices a swallowed read, and losses reach the gateways by way of a sidecar as well.

--- a/src/coordination/crash_records.c
+++ b/src/coordination/crash_records.c
@@ -325,7 +325,6 @@
 		.name = "crashes",
 		.poll_us = POLL_US,
 		.pause_us = READ_PAUSE_US,
-		.check = true,
 		.record = on_record,
 		.snapshot_begin = ignore_snapshot,
 		.snapshot_end = ignore_snapshot,
