--- a/src/coordination/crash_parts.h
+++ b/src/coordination/crash_parts.h
@@ -16,12 +16,12 @@
  * no request with it was answered since, nor within the immunity before.  While
  * other replicas end as well, as in an outage of many, it must have been lost
  * with two thirds of those that ended since, a whole request with half of them,
- * or with CRASH_PARTS_SURE.  Not counted are losses of requests whose answers had
- * begun, if one that had not begun was lost with the same incarnation, and those
- * of an incarnation that was lost with a barred part; but a whole request is
- * barred with CRASH_PARTS_SURE_WHOLE even so, as two causes may have run on the
- * same replicas.  Of parts that share their losses the one that comes later in
- * the prompt is barred, as fewer requests have it; if the other one is the
+ * or with CRASH_PARTS_SURE.  Not counted are losses of requests whose answers
+ * had begun, if one that had not begun was lost with the same incarnation, and
+ * those of an incarnation that was lost with a barred part; but a whole request
+ * is barred with CRASH_PARTS_SURE_WHOLE even so, as two causes may have run on
+ * the same replicas.  Of parts that share their losses the one that comes later
+ * in the prompt is barred, as fewer requests have it; if the other one is the
  * cause, its losses go on, and from CRASH_PARTS_SURE of them on those of whole
  * requests count for it too.
  *
