coordination, gateway: an answered request is not barred as a whole

Cause: an answer cleared a whole request only if it had losses. Parts of prompts are immune for a time after an answer; whole requests were not, as keeping each of them would fill the table.

--- a/src/coordination/crash_parts.c
+++ b/src/coordination/crash_parts.c
@@ -11,6 +11,7 @@
 /* In a weight's position: the part comes before all whole requests. */
 #define BEFORE_WHOLE 0x80000000U
 #define REQUEST_LOSSES_MIN 2 /* of one of several that speak against a part */
+#define WHOLES_ANSWERED 4096 /* kept, one for each remainder of the hash */
 #define CRASHES_KEPT 128 /* incarnations, the newest */
 
 struct part {
@@ -39,8 +40,15 @@
 	bool unbegun; /* one of these requests had no answer yet */
 };
 
+/* A whole request that was answered. */
+struct whole_answer {
+	uint64_t whole; /* 0: none */
+	int64_t at_us;
+};
+
 struct crash_parts {
 	struct crash_parts_options opts;
+	struct whole_answer answers[WHOLES_ANSWERED];
 	struct part *parts; /* hash table by id */
 	struct part_list by_use; /* least recently used first */
 	struct part_list lost; /* parts with losses, the last one last */
@@ -377,6 +385,21 @@
 	    (struct crash){ loss->incarnation, now, !loss->begun };
 }
 
+void
+crash_parts_whole_answered(struct crash_parts *cp, uint64_t whole, int64_t now)
+{
+	cp->answers[whole % WHOLES_ANSWERED] =
+	    (struct whole_answer){ whole, now };
+}
+
+static bool
+was_answered(const struct crash_parts *cp, uint64_t whole, int64_t now)
+{
+	const struct whole_answer *a = &cp->answers[whole % WHOLES_ANSWERED];
+
+	return a->whole == whole && now - a->at_us < cp->opts.immunity_us;
+}
+
 /* Of two losses with one incarnation, that of the answer not begun is kept. */
 static bool
 part_replace_begun(struct crash_parts *cp, struct part *p,
@@ -400,7 +423,9 @@
 	struct part *p;
 
 	note_crash(cp, loss, now);
-	if (is_immune(cp, part_find(cp, loss->part), now))
+	if (is_immune(cp, part_find(cp, loss->part), now) ||
+	    (loss->position == CRASH_PARTS_WHOLE &&
+		was_answered(cp, loss->part, now)))
 		return false;
 	p = part_use(cp, loss->part);
 	if (part_has_loss(p, loss->incarnation))
@@ -459,7 +484,8 @@
 bool
 crash_parts_is_immune(const struct crash_parts *cp, uint64_t id, int64_t now)
 {
-	return is_immune(cp, part_find(cp, id), now);
+	return is_immune(cp, part_find(cp, id), now) ||
+	       was_answered(cp, id, now);
 }
 
 unsigned
--- a/src/coordination/crash_parts.h
+++ b/src/coordination/crash_parts.h
@@ -96,6 +96,12 @@
  * and trials are forgotten, and it is immune for a time.
  */
 void crash_parts_clear(struct crash_parts *, uint64_t part, int64_t now_us);
+/*
+ * A whole request was answered: it is immune for a time.  Cheaper than
+ * crash_parts_clear(), for those without losses; a few are forgotten early.
+ */
+void crash_parts_whole_answered(
+    struct crash_parts *, uint64_t whole, int64_t now_us);
 /* The count of trials of the part so far, as recorded here or elsewhere. */
 void crash_parts_tried(
     struct crash_parts *, uint64_t part, unsigned trials, int64_t now_us);
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -299,6 +299,8 @@
 
 	if (shared_parts(p) == 0 && p->whole == 0)
 		return;
+	if (p->whole != 0 && sure)
+		crash_parts_whole_answered(cg->parts, p->whole, now_us(cg));
 	if (sure) {
 		clear_parts(cg, p);
 		return;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -349,11 +349,11 @@
 	}
 	exchange_note_outcome(x, x->code >= 500 ? OUTLIER_ERROR : OUTLIER_OK);
 	update_avg_answer(x);
-	if (ok && !crash_guard_is_idle(x->gateway->crash_guard))
+	if (ok) {
 		exchange_identify(x);
-	if (ok)
 		crash_guard_answered(x->gateway->crash_guard, &x->params,
 		    x->backend, !x->ended_by_close);
+	}
 	exchange_release(x);
 	if (x->response_begun && !ok) {
 		retry_or_fail(x, "stream could not be resumed");
--- a/test/process/test_soak_platform.c
+++ b/test/process/test_soak_platform.c
@@ -550,6 +550,9 @@
 	{ 1, "the replica stand-in used a stream of a disconnected caller" },
 	{ 2, "the proxy let bytes without a delay overtake delayed ones" },
 	{ 6021, "own turns kept a gateway from asking a meter that was back" },
+	{ 8019, "a sound request that many callers send was barred" },
+	{ 8023, "the same, known to be sound at another gateway only" },
+	{ 8031, "as 8019" },
 };
 
 static void
--- a/test/unit/test_crash_parts.c
+++ b/test/unit/test_crash_parts.c
@@ -369,6 +369,23 @@
 	crash_parts_destroy(cp);
 }
 
+/* Many callers send the same sound request, and it is lost beside others. */
+static void
+test_answered_request_is_barred(void)
+{
+	struct crash_parts *cp = crash_parts_create(&opts);
+
+	crash_parts_whole_answered(cp, WHOLE, 0);
+	for (uint64_t i = 0; i < 5; i++)
+		lose(cp, WHOLE, CRASH_PARTS_WHOLE, i, WHOLE, USEC_PER_SEC);
+	g_assert_false(is_barred(cp, WHOLE));
+	g_assert_true(crash_parts_is_immune(cp, WHOLE, USEC_PER_SEC));
+	for (uint64_t i = 5; i < 8; i++)
+		lose(cp, WHOLE, CRASH_PARTS_WHOLE, i, WHOLE, opts.immunity_us);
+	g_assert_true(is_barred(cp, WHOLE));
+	crash_parts_destroy(cp);
+}
+
 /* Several requests with one part, each lost twice: the part is the cause. */
 static void
 test_part_of_several_repeated_requests(void)
@@ -559,6 +576,8 @@
 	    test_repeated_request_and_part);
 	g_test_add_func("/crash_parts/begun_answers_are_not_blamed",
 	    test_begun_answers_are_not_blamed);
+	g_test_add_func("/crash_parts/answered_request_is_barred",
+	    test_answered_request_is_barred);
 	g_test_add_func("/crash_parts/part_of_several_repeated_requests",
 	    test_part_of_several_repeated_requests);
 	g_test_add_func("/crash_parts/outage", test_outage_bars_nothing);
