test: failures of the platform's soak tell what was seen

It now tells the seed, the gateway, the model, the status and the body; a write to the stand-in store that fails tells whether the store has ended, with its wait status.

--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -252,6 +252,16 @@
 	return false;
 }
 
+void
+proc_assert_running(struct proc *p)
+{
+	int status = 0;
+	pid_t rc = p->pid <= 0 ? -1 : waitpid(p->pid, &status, WNOHANG);
+
+	if (rc != 0)
+		g_error("%s has ended, wait status %d", p->name, status);
+}
+
 bool
 proc_log_contains(const struct proc *p, const char *text)
 {
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -114,6 +114,8 @@
  * if it was not running.
  */
 int proc_wait(struct proc *);
+/* Asserts that the process has not ended; the message has its wait status. */
+void proc_assert_running(struct proc *);
 /* Sends SIGKILL and waits. */
 void proc_kill(struct proc *);
 /* Sends SIGTERM and waits; asserts exit status 0. */
--- a/test/process/harness_fleet.c
+++ b/test/process/harness_fleet.c
@@ -21,6 +21,8 @@
 
 	http_call(&resp, value == NULL ? "DELETE" : "PUT", fleet.store, path,
 	    NULL, value);
+	if (resp.code != 200)
+		proc_assert_running(&fleet.store_proc);
 	g_assert_cmpint(resp.code, ==, 200);
 	response_clear(&resp);
 	g_free(path);
--- a/test/process/test_soak_platform.c
+++ b/test/process/test_soak_platform.c
@@ -485,7 +485,12 @@
 			struct response resp;
 			int r = fleet_request(&resp, i, "/stream/1", models[m]);
 
-			g_assert_true(fleet_is_complete_stream(&resp, r));
+			if (!fleet_is_complete_stream(&resp, r))
+				g_error(
+				    "seed %u: r%d of %s at gateway %d after "
+				    "the faults: %ld, cut %d, after %.3f s: %s",
+				    soak.seed, r, models[m], i, resp.code,
+				    resp.cut, resp.seconds, resp.body);
 			response_clear(&resp);
 		}
 	}
