test: an idle gateway is not told what another one has read, failing

The postmortem of DRAIN lists it as remaining: sidecars hint a gateway that is behind only when it sends them something, and a gateway without requests for engines sends nothing. Its checks of a read that waits come every 20 s with 27 gateways, as gateways check in turn and rely on hints.

/gateway/idle_gateway_gets_no_hint: the store forgets the reads of both gateways, one of them restarts and reads on, a replica leaves. A comment in the file stood before the wrong test.

--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -251,7 +251,6 @@
 	fleet_stop();
 }
 
-/* The store hangs: gateways serve on with their last state. */
 /* Runs a stream at each gateway, and requests a plain service of the first. */
 static bool
 drained_replica_is_unused_under_load(void *ctx)
@@ -358,6 +357,39 @@
 	fleet_stop();
 }
 
+static bool
+reads_because_of_peer(void *ctx)
+{
+	return proc_log_contains(&fleet.gateways[0], "\"msg\":\"read again\"");
+}
+
+/* A gateway without requests for engines has no need to talk to a sidecar. */
+static void
+test_idle_gateway_gets_no_hint(void)
+{
+	struct settled settled = { 0 };
+	int64_t start_ms;
+
+	fleet_start();
+	await_true(reads_have_settled, &settled, "reads wait");
+	set_faults(fleet.store, "{\"forget_waiting\": \"keyed.servers\"}");
+	proc_kill(&fleet.gateways[1]);
+	proc_clear(&fleet.gateways[1]);
+	fleet_start_gateway(1);
+	await_true(
+	    fleet_gateway_ready, fleet.ready_address[1], "gateway ready");
+	start_ms = now_ms();
+	fleet_write_replica(&fleet.services[0], "app", "draining", 1000);
+	while (
+	    !reads_because_of_peer(NULL) && now_ms() - start_ms < DEAF_MAX_MS)
+		sleep_ms(10);
+	g_assert_true(reads_because_of_peer(NULL));
+	await_true(
+	    drained_replica_is_unused, NULL, "drained replica gets no work");
+	fleet_stop();
+}
+
+/* The store hangs: gateways serve on with their last state. */
 static void
 test_without_store(void)
 {
@@ -645,6 +677,8 @@
 	    test_silence_leaves_all_gateways_deaf);
 	g_test_add_func("/gateway/lost_answers_leave_all_gateways_deaf",
 	    test_lost_answers_leave_all_gateways_deaf);
+	g_test_add_func("/gateway/idle_gateway_gets_no_hint",
+	    test_idle_gateway_gets_no_hint);
 	g_test_add_func("/gateway/without_store", test_without_store);
 	g_test_add_func(
 	    "/gateway/starts_without_store", test_starts_without_store);
