gateway, sidecar: an idle gateway hears that another one has read further

Cause: a sidecar hinted only gateways that sent it something. A gateway that is sent requests of plain services alone sends nothing to sidecars, and its own checks come every 20 s with 27 gateways, as they rely on hints.

The change: after each read a gateway tells one sidecar, the connected one that all gateways choose alike, how far it has read (RPC procedure 32). That sidecar hints the gateways that told it less, 0.3 s after one of them told more, once for each offset. The meter of a plain service is chosen by the same function.

--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -58,6 +58,10 @@
 	unsigned store_loads_limit;
 	int64_t limit_learned_us; /* by a sidecar, Unix time; 0: none yet */
 	int64_t uses_sent_us;
+	/* How far replicas have been read, as told to the sidecar of read_conn.
+	 */
+	uint64_t read_sent;
+	struct rpc_conn *read_conn; /* NULL: to be chosen again */
 	bool closing;
 };
 
@@ -249,6 +253,8 @@
 	struct backend *b = rpc_conn_owner(conn);
 
 	deployment_sync_conn_closed(sc->gateway->deployment_sync, conn);
+	if (sc->read_conn == conn)
+		sc->read_conn = NULL;
 	if (b == NULL || b->conn != conn || sc->closing)
 		return;
 	log_warn(sc->gateway->process.logger, "sidecar lost",
@@ -276,6 +282,7 @@
 	sc = rpc_conn_owner(conn);
 	rpc_conn_set_owner(conn, b);
 	b->conn = conn;
+	sc->read_conn = NULL;
 	log_info(sc->gateway->process.logger, "sidecar reached",
 	    LF_S("replica", b->entry.id));
 	send_uses(sc, b, true); /* even if empty: carries the version */
@@ -342,6 +349,48 @@
 
 /* ---- messages to sidecars ---- */
 
+/*
+ * The listed replica whose sidecar all gateways choose alike for this seed, by
+ * rendezvous hashing; connected: only of those that are.  NULL: none.
+ */
+static struct backend *
+choose_sidecar(struct sidecar_conns *sc, uint64_t seed, bool connected)
+{
+	struct backend *b = NULL, *best = NULL;
+	uint64_t most = 0;
+
+	while ((b = backends_next(sc->gateway->backends, b)) != NULL) {
+		uint64_t weight = XXH3_64bits_withSeed(
+		    b->entry.id, strlen(b->entry.id), seed);
+
+		if (!b->listed || !has_sidecar(sc, b) ||
+		    (connected && (b->conn == NULL || b->connecting)) ||
+		    (best != NULL && weight <= most))
+			continue;
+		best = b;
+		most = weight;
+	}
+	return best;
+}
+
+/* Tells one sidecar, which hints the gateways that have read less. */
+static void
+send_read(struct sidecar_conns *sc)
+{
+	struct tm_replicas_read msg = { keyed_feed_next_offset(
+	    sc->gateway->replica_feed) };
+	struct backend *b;
+
+	if (msg.next == sc->read_sent && sc->read_conn != NULL)
+		return;
+	b = choose_sidecar(sc, 0, true);
+	if (b == NULL || rpc_conn_send(b->conn, TM_REPLICAS_READ,
+			     (xdrproc_t)xdr_tm_replicas_read, &msg) == -1)
+		return;
+	sc->read_sent = msg.next;
+	sc->read_conn = b->conn;
+}
+
 static void
 send_uses(struct sidecar_conns *sc, struct backend *b, bool all)
 {
@@ -375,6 +424,7 @@
 	struct backend *b = NULL;
 	int64_t now = clock_now(sc->gateway->process.clock);
 
+	send_read(sc);
 	if (now - sc->uses_sent_us < SEND_USES_PAUSE_US)
 		return;
 	sc->uses_sent_us = now;
@@ -433,23 +483,10 @@
 struct backend *
 sidecar_conns_meter(struct sidecar_conns *sc, struct backend *b)
 {
-	struct backend *other = NULL, *meter = NULL;
-	uint64_t seed = XXH3_64bits(b->entry.id, strlen(b->entry.id));
-	uint64_t most = 0;
-
 	if (has_sidecar(sc, b))
 		return b;
-	while ((other = backends_next(sc->gateway->backends, other)) != NULL) {
-		uint64_t weight = XXH3_64bits_withSeed(
-		    other->entry.id, strlen(other->entry.id), seed);
-
-		if (!other->listed || !has_sidecar(sc, other) ||
-		    (meter != NULL && weight <= most))
-			continue;
-		meter = other;
-		most = weight;
-	}
-	return meter;
+	return choose_sidecar(
+	    sc, XXH3_64bits(b->entry.id, strlen(b->entry.id)), false);
 }
 
 /* The connection to the replica's meter; NULL if there is none. */
--- a/src/gateway/sidecar_conns.h
+++ b/src/gateway/sidecar_conns.h
@@ -34,7 +34,10 @@
 /* Closes the connection to the sidecar, before the backend is freed. */
 void sidecar_conns_close(struct sidecar_conns *, struct backend *);
 
-/* Sends uses that changed, and reconnects; call it on every tick. */
+/*
+ * Sends uses that changed and how far the replicas' topic has been read, and
+ * reconnects; call it on every tick.
+ */
 void sidecar_conns_tick(struct sidecar_conns *);
 
 /*
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -619,6 +619,14 @@
 	bool cleared;			/* only the part is set */
 };
 
+/*
+ * One-way, gateway to a sidecar that all gateways choose alike: how far it has
+ * read the replicas' topic of the platform's store.
+ */
+struct tm_replicas_read {
+	unsigned hyper next;		/* offset of the next record */
+};
+
 program TM_PROG {
 	version TM_V1 {
 		tm_hello_reply TM_HELLO(tm_hello_args) = 1;
@@ -653,5 +661,6 @@
 		void TM_LIMIT(tm_limit) = 29;
 		tm_limit_taken TM_LIMIT_TAKE(tm_limit_take) = 30;
 		void TM_CRASH(tm_crash) = 31;
+		void TM_REPLICAS_READ(tm_replicas_read) = 32;
 	} = 1;
 } = 0x20746d31;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1446,3 +1446,13 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_tm_replicas_read (XDR *xdrs, tm_replicas_read *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->next))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -718,6 +718,11 @@
 };
 typedef struct tm_crash tm_crash;
 
+struct tm_replicas_read {
+	u_quad_t next;
+};
+typedef struct tm_replicas_read tm_replicas_read;
+
 #define TM_PROG 0x20746d31
 #define TM_V1 1
 
@@ -815,6 +820,9 @@
 #define TM_CRASH 31
 extern  void * tm_crash_1(tm_crash *, CLIENT *);
 extern  void * tm_crash_1_svc(tm_crash *, struct svc_req *);
+#define TM_REPLICAS_READ 32
+extern  void * tm_replicas_read_1(tm_replicas_read *, CLIENT *);
+extern  void * tm_replicas_read_1_svc(tm_replicas_read *, struct svc_req *);
 extern int tm_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -911,6 +919,9 @@
 #define TM_CRASH 31
 extern  void * tm_crash_1();
 extern  void * tm_crash_1_svc();
+#define TM_REPLICAS_READ 32
+extern  void * tm_replicas_read_1();
+extern  void * tm_replicas_read_1_svc();
 extern int tm_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -997,6 +1008,7 @@
 extern  bool_t xdr_tm_limit_take (XDR *, tm_limit_take*);
 extern  bool_t xdr_tm_limit_taken (XDR *, tm_limit_taken*);
 extern  bool_t xdr_tm_crash (XDR *, tm_crash*);
+extern  bool_t xdr_tm_replicas_read (XDR *, tm_replicas_read*);
 
 #else /* K&R C */
 extern bool_t xdr_tm_id ();
@@ -1079,6 +1091,7 @@
 extern bool_t xdr_tm_limit_take ();
 extern bool_t xdr_tm_limit_taken ();
 extern bool_t xdr_tm_crash ();
+extern bool_t xdr_tm_replicas_read ();
 
 #endif /* K&R C */
 
--- a/src/sidecar/gateway_conns.c
+++ b/src/sidecar/gateway_conns.c
@@ -25,9 +25,6 @@
 #define PEER_TIMEOUT_US (3 * USEC_PER_SEC) /* a peer that does not answer */
 /* By then a load report has carried the version to most gateways. */
 #define SEND_VERSION_DELAY_US (300 * USEC_PER_MSEC)
-/* By then most gateways have read what one of them has. */
-#define HINT_DELAY_US (300 * USEC_PER_MSEC)
-#define HINT_PAUSE_US (500 * USEC_PER_MSEC) /* between hints to a gateway */
 /*
  * Three of the chunks in which engines prefill: the events of a stream, of five
  * tokens each, stay less than 600 ms apart.
@@ -59,6 +56,9 @@
 	    gateway_conns_on_limit_take, NULL },
 	{ TM_CRASH, (xdrproc_t)xdr_tm_crash, sizeof(struct tm_crash), NULL,
 	    on_crash, NULL },
+	{ TM_REPLICAS_READ, (xdrproc_t)xdr_tm_replicas_read,
+	    sizeof(struct tm_replicas_read), NULL, gateway_conns_on_read,
+	    NULL },
 	{ 0 },
 };
 
@@ -273,6 +273,7 @@
 
 	/* Meanwhile permits expire, and waiting requests become too late. */
 	answer_prefills(gws);
+	gateway_conns_hint_idle(gws);
 	if (version != gws->version) {
 		gws->version = version;
 		gws->version_us = now;
@@ -315,22 +316,6 @@
 	v->control = gws->replicas_offset;
 }
 
-/*
- * The gateway has not read the replicas' topic as far as another one: every
- * message tells it, and a load report is a small one.
- */
-static void
-hint_gateway(struct gateway_conns *gws, struct gateway_conn *gw)
-{
-	int64_t now = clock_now(gws->sidecar->process.clock);
-
-	if (gw == NULL || now - gws->replicas_offset_us < HINT_DELAY_US ||
-	    now - gw->hint_sent_us < HINT_PAUSE_US)
-		return;
-	gw->hint_sent_us = now;
-	gateway_conn_send_load(gws, gw, &gws->sent_load);
-}
-
 static void
 on_versions(void *ctx, struct rpc_conn *conn, const struct rpc_versions *v)
 {
@@ -338,13 +323,7 @@
 
 	deployment_sync_on_peer_versions(
 	    gws->sidecar->deployment_sync, conn, v);
-	if (v->control < gws->replicas_offset) {
-		hint_gateway(gws, rpc_conn_owner(conn));
-	} else if (v->control > gws->replicas_offset) {
-		gws->replicas_offset = v->control;
-		gws->replicas_offset_us =
-		    clock_now(gws->sidecar->process.clock);
-	}
+	gateway_conns_note_read(gws, rpc_conn_owner(conn), v->control);
 }
 
 static void
--- a/src/sidecar/gateway_conns_internal.h
+++ b/src/sidecar/gateway_conns_internal.h
@@ -10,8 +10,8 @@
 #include "sidecar/gateway_conns.h"
 #include "transport/rpc.h"
 
-/* Seven of gateway_conns.c, two of deployment_sync, and the terminator. */
-#define GATEWAY_CONNS_HANDLERS 10
+/* Eight of gateway_conns.c, two of deployment_sync, and the terminator. */
+#define GATEWAY_CONNS_HANDLERS 11
 
 /* A gateway's requests for one model and adapter. */
 struct gateway_use {
@@ -25,6 +25,10 @@
 	struct rpc_conn *conn;
 	int64_t load_sent_us; /* of the last load report */
 	int64_t hint_sent_us; /* that it is behind another gateway */
+	/* How far it has read the replicas' topic; 0: it tells another sidecar.
+	 */
+	uint64_t replicas_read;
+	uint64_t hinted_offset; /* of the last hint without a message of it */
 	uint64_t sent_holds_hash; /* of the last TM_REPLICA_HOLDS */
 	uint64_t sent_models_hash; /* of its loaded models; 0: none sent yet */
 	int64_t holds_sent_us;
@@ -67,6 +71,17 @@
 /* Tells a gateway that has connected the limits in force. */
 void gateway_conn_send_limits(struct gateway_conns *, struct gateway_conn *);
 
+/* ---- gateway_conns_hint.c ---- */
+
+/* Handler of TM_REPLICAS_READ; ctx: struct gateway_conns. */
+void gateway_conns_on_read(void *ctx, struct rpc_call *, void *args);
+/* A message of the gateway (NULL: not known yet) says how far it has read. */
+void gateway_conns_note_read(
+    struct gateway_conns *, struct gateway_conn *, uint64_t offset);
+/* Hints the gateways that are behind and send nothing; call it on every tick.
+ */
+void gateway_conns_hint_idle(struct gateway_conns *);
+
 /* ---- gateway_conns_report.c ---- */
 
 void gateway_conn_send_load(struct gateway_conns *, struct gateway_conn *,
