coordination, sidecar: a meter that takes over waits for its predecessor's places

Cause: only a meter that has just started waited until the places of its predecessor had been used. A sidecar that has run for long and becomes the meter, as the replicas change, placed requests at once, while the former one still placed those of gateways that had not heard of the change.

Evidence: /rate_limit/two_meters_exceed_limit, new, replays gateways that move from one meter to the next within 1.6 s: 61 requests in 4 s where 56 are allowed.

The change: a gateway tells a limit that it learns before it asks for a place; a meter that is asked for one under a limit that it does not know places nothing for 1.5 s. Then the two overlap by 1.6 s at most, which the bound has room for. limit_meter_take() returns a struct, as the sidecar also needs whether the limit has changed.

--- a/src/coordination/limit_meter.c
+++ b/src/coordination/limit_meter.c
@@ -14,6 +14,8 @@
 struct limit_entry {
 	char id[FLEET_ID_MAX]; /* of the replica */
 	struct limit_news news; /* its replica is the id above */
+	/* Until then another meter may have placed requests. */
+	int64_t other_us;
 	struct rate_limit rate;
 	int64_t used_us; /* last news or request */
 	UT_hash_handle hh;
@@ -66,8 +68,10 @@
 		remove_entry(m, oldest);
 }
 
+/* other_us: of a new entry. */
 static struct limit_entry *
-get_entry(struct limit_meter *m, const struct limit_news *news)
+get_entry(
+    struct limit_meter *m, const struct limit_news *news, int64_t other_us)
 {
 	struct limit_entry *e;
 
@@ -82,6 +86,7 @@
 	strlcpy(e->id, news->replica, sizeof(e->id));
 	e->news.replica = e->id;
 	e->news.seen_us = INT64_MIN;
+	e->other_us = other_us;
 	HASH_ADD_STR(m->entries, id, e);
 	return e;
 }
@@ -94,11 +99,9 @@
 	return a->seen_us > b->seen_us;
 }
 
-bool
-limit_meter_note(
-    struct limit_meter *m, const struct limit_news *news, int64_t now_us)
+static bool
+note(struct limit_entry *e, const struct limit_news *news, int64_t now_us)
 {
-	struct limit_entry *e = get_entry(m, news);
 	bool changed = e->news.per_s != news->per_s;
 
 	e->used_us = now_us;
@@ -108,22 +111,35 @@
 	e->news.replica = e->id;
 	if (news->per_s > 0)
 		rate_limit_set(&e->rate, news->per_s, now_us,
-		    m->created_us + RATE_LIMIT_AHEAD_US);
+		    e->other_us + RATE_LIMIT_AHEAD_US);
 	return changed;
 }
 
 bool
-limit_meter_take(struct limit_meter *m, const struct limit_news *news,
-    int64_t now_us, int64_t ahead_us, int64_t *at_us, struct limit_news *newest)
+limit_meter_note(
+    struct limit_meter *m, const struct limit_news *news, int64_t now_us)
 {
-	struct limit_entry *e;
+	return note(get_entry(m, news, m->created_us), news, now_us);
+}
 
-	(void)limit_meter_note(m, news, now_us);
-	e = get_entry(m, news);
-	*newest = e->news;
-	*at_us = now_us;
-	return e->news.per_s == 0 ||
-	       rate_limit_take(&e->rate, now_us, ahead_us, at_us);
+/*
+ * A gateway that learns a limit tells it before it asks for a place.  If it
+ * asks for one under a limit that is not known here, another meter has placed
+ * requests until now.
+ */
+struct limit_place
+limit_meter_take(struct limit_meter *m, const struct limit_news *news,
+    int64_t now_us, int64_t ahead_us)
+{
+	struct limit_entry *e = get_entry(m, news, now_us);
+	struct limit_place p = { .granted = true, .at_us = now_us };
+
+	p.changed = note(e, news, now_us);
+	p.newest = e->news;
+	if (e->news.per_s > 0)
+		p.granted =
+		    rate_limit_take(&e->rate, now_us, ahead_us, &p.at_us);
+	return p;
 }
 
 void
--- a/src/coordination/limit_meter.h
+++ b/src/coordination/limit_meter.h
@@ -31,14 +31,20 @@
 bool limit_meter_note(
     struct limit_meter *, const struct limit_news *, int64_t now_us);
 
+/* The answer to a request for a place. */
+struct limit_place {
+	bool granted;
+	int64_t at_us; /* when it may be sent, or the next one could be */
+	struct limit_news newest; /* what is known of the replica now */
+	bool changed; /* the news changed the replica's limit */
+};
+
 /*
- * Places a request to the replica of the news, which are noted first: returns
- * true and when it may be sent, or false and when the next one could be.
- * *newest: what is known of the replica now; at any time if it has no limit.
+ * Places a request to the replica of the news, which are noted first: now, or
+ * at most ahead_us later; at any time if the replica has no limit.
  */
-bool limit_meter_take(struct limit_meter *, const struct limit_news *,
-    int64_t now_us, int64_t ahead_us, int64_t *at_us,
-    struct limit_news *newest);
+struct limit_place limit_meter_take(struct limit_meter *,
+    const struct limit_news *, int64_t now_us, int64_t ahead_us);
 
 /* Calls each() for every limit in force. */
 void limit_meter_list(const struct limit_meter *,
--- a/src/sidecar/gateway_conns_limit.c
+++ b/src/sidecar/gateway_conns_limit.c
@@ -81,8 +81,9 @@
 	struct gateway_conns *gws = ctx;
 	struct gateway_conn *gw = gateway_conns_caller(gws, call);
 	const struct tm_limit_take *msg = args;
-	int64_t now = now_us(gws), at;
-	struct limit_news news, newest;
+	int64_t now = now_us(gws);
+	struct limit_news news;
+	struct limit_place place;
 	struct tm_limit_taken reply;
 
 	if (decode_news(gws, &msg->known, &news) == -1) {
@@ -91,12 +92,12 @@
 		rpc_call_reply(call, &reply);
 		return;
 	}
-	if (limit_meter_note(gws->limit_meter, &news, now))
+	place = limit_meter_take(gws->limit_meter, &news, now, msg->ahead_us);
+	if (place.changed)
 		pass_on(gws, gw, &news);
-	reply.granted = limit_meter_take(
-	    gws->limit_meter, &news, now, msg->ahead_us, &at, &newest);
-	reply.wait_us = at - now;
-	reply.newest = encode_news(gws, &newest);
+	reply.granted = place.granted;
+	reply.wait_us = place.at_us - now;
+	reply.newest = encode_news(gws, &place.newest);
 	rpc_call_reply(call, &reply);
 }
 
--- a/test/unit/test_rate_limit.c
+++ b/test/unit/test_rate_limit.c
@@ -1,7 +1,8 @@
 /*
  * Requests of many gateways to replicas that name a limit, replayed with 50
- * seeds: with a meter that restarts, gateways that cannot reach it, gateways
- * that stop between a place and its use, and limits that change.
+ * seeds: with a meter that restarts or that another one takes over from,
+ * gateways that cannot reach it, gateways that stop between a place and its
+ * use, and limits that change.
  *
  * Guards against more requests than the replica takes, and against a limit that
  * is not used although requests wait.
@@ -23,11 +24,22 @@
 #define SETTLE_US (3 * USEC_PER_SEC)
 #define START_US (1000 * USEC_PER_SEC)
 
+/*
+ * Gateways hear within this time that another sidecar is the meter of a plain
+ * service: the pause between two reads of the replicas, and half a second.
+ */
+#define HANDOVER_US (1600 * USEC_PER_MSEC)
+#define HANDOVER_PAUSE_US (8 * USEC_PER_SEC)
+
 struct replay {
 	struct rng rng;
 	struct limit_meter *meter;
+	struct limit_meter *former; /* the meter before a handover, or NULL */
+	int64_t handover_us;
+	int64_t moves_us[GATEWAYS_MAX]; /* to the meter, from the former one */
 	struct rate_share shares[GATEWAYS_MAX];
 	bool cut[GATEWAYS_MAX]; /* cannot reach the meter */
+	bool hands_over;
 	unsigned gateways;
 	double per_s;
 	int64_t sent[SENT_MAX];
@@ -71,20 +83,23 @@
 static void
 send_one(struct replay *r, unsigned gateway, int64_t now)
 {
-	struct limit_news news = { .replica = "r",
-		.born_ms = 1,
-		.per_s = r->per_s,
-		.seen_us = now },
-			  newest;
+	struct limit_news news = {
+		.replica = "r", .born_ms = 1, .per_s = r->per_s, .seen_us = now
+	};
+	struct limit_place place;
 	int64_t at;
 	bool placed;
 
-	if (r->cut[gateway])
+	if (r->cut[gateway]) {
 		placed = rate_share_take(&r->shares[gateway], r->per_s / 2,
 		    r->gateways, gateway, now, RATE_LIMIT_AHEAD_US, &at);
-	else
-		placed = limit_meter_take(
-		    r->meter, &news, now, RATE_LIMIT_AHEAD_US, &at, &newest);
+	} else {
+		place = limit_meter_take(
+		    now < r->moves_us[gateway] ? r->former : r->meter, &news,
+		    now, RATE_LIMIT_AHEAD_US);
+		placed = place.granted;
+		at = place.at_us;
+	}
 	g_assert_cmpint(at, >=, now);
 	if (!placed) {
 		g_assert_cmpint(at - now, >, RATE_LIMIT_AHEAD_US);
@@ -96,6 +111,18 @@
 	r->sent[r->sent_count++] = at + (int64_t)rng_below(&r->rng, 10000);
 }
 
+/* A sidecar that has run for long becomes the meter. */
+static void
+hand_over(struct replay *r, int64_t now)
+{
+	limit_meter_destroy(r->former);
+	r->former = r->meter;
+	r->meter = limit_meter_create(0);
+	r->handover_us = now;
+	for (unsigned i = 0; i < r->gateways; i++)
+		r->moves_us[i] = now + (int64_t)rng_below(&r->rng, HANDOVER_US);
+}
+
 /* All gateways want to send several times as many as the replica takes. */
 static void
 run(struct replay *r, bool restarts)
@@ -112,6 +139,8 @@
 
 			r->cut[i] = !r->cut[i];
 		}
+		if (r->hands_over && now - r->handover_us >= HANDOVER_PAUSE_US)
+			hand_over(r, now);
 		send_one(r, (unsigned)rng_below(&r->rng, r->gateways), now);
 	}
 }
@@ -133,6 +162,7 @@
 stop(struct replay *r)
 {
 	limit_meter_destroy(r->meter);
+	limit_meter_destroy(r->former);
 	free(r);
 }
 
@@ -165,6 +195,22 @@
 	}
 }
 
+/* Some gateways still ask the former meter. */
+static void
+test_two_meters_exceed_limit(void)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct replay *r = start(seed);
+
+		r->hands_over = true;
+		r->handover_us = START_US;
+		run(r, false);
+		g_assert_cmpuint(most_in_window(r, START_US + SETTLE_US), <=,
+		    allowed(r->per_s));
+		stop(r);
+	}
+}
+
 /* What has gathered at gateways that reach no meter leaves them together. */
 static void
 test_unmetered_gateways_send_at_once(void)
@@ -192,8 +238,8 @@
 test_older_answer_counts(void)
 {
 	struct limit_meter *m = limit_meter_create(0);
-	struct limit_news n = news(2, 100, 1), newest;
-	int64_t at;
+	struct limit_news n = news(2, 100, 1);
+	struct limit_place place;
 
 	g_assert_true(limit_meter_note(m, &n, 200));
 	n = news(0, 50, 1); /* came before it, and is told after it */
@@ -204,11 +250,12 @@
 	n = news(0, 300, 1);
 	g_assert_true(limit_meter_note(m, &n, 310));
 	n = news(2, 150, 1);
-	g_assert_true(limit_meter_take(
-	    m, &n, 2000320, RATE_LIMIT_AHEAD_US, &at, &newest));
-	g_assert_cmpint(at, ==, 2000320);
-	g_assert_cmpfloat(newest.per_s, ==, 0);
-	g_assert_cmpint(newest.seen_us, ==, 300);
+	place = limit_meter_take(m, &n, 2000320, RATE_LIMIT_AHEAD_US);
+	g_assert_true(place.granted);
+	g_assert_false(place.changed);
+	g_assert_cmpint(place.at_us, ==, 2000320);
+	g_assert_cmpfloat(place.newest.per_s, ==, 0);
+	g_assert_cmpint(place.newest.seen_us, ==, 300);
 	limit_meter_destroy(m);
 }
 
@@ -217,17 +264,17 @@
 test_limit_outlasts_incarnation(void)
 {
 	struct limit_meter *m = limit_meter_create(0);
-	struct limit_news n = news(2, 100, 1), newest;
-	int64_t at;
+	struct limit_news n = news(2, 100, 1);
+	struct limit_place place;
 
 	g_assert_true(limit_meter_note(m, &n, 100));
 	n = news(0, 50, 2);
 	g_assert_true(limit_meter_note(m, &n, 200));
 	n = news(2, 150, 1);
 	g_assert_false(limit_meter_note(m, &n, 300));
-	g_assert_true(limit_meter_take(
-	    m, &n, 2000320, RATE_LIMIT_AHEAD_US, &at, &newest));
-	g_assert_cmpfloat(newest.per_s, ==, 0);
+	place = limit_meter_take(m, &n, 2000320, RATE_LIMIT_AHEAD_US);
+	g_assert_true(place.granted);
+	g_assert_cmpfloat(place.newest.per_s, ==, 0);
 	limit_meter_destroy(m);
 }
 
@@ -255,6 +302,8 @@
 	    test_gateways_exceed_limit_together);
 	g_test_add_func("/rate_limit/restarts_and_cuts_exceed_limit",
 	    test_restarts_and_cuts_exceed_limit);
+	g_test_add_func("/rate_limit/two_meters_exceed_limit",
+	    test_two_meters_exceed_limit);
 	g_test_add_func("/rate_limit/unmetered_gateways_send_at_once",
 	    test_unmetered_gateways_send_at_once);
 	g_test_add_func(
