gateway: a replica that has unloaded the model may load it again for the request

Cause: a replica's refusal because the model is not loaded excluded it from further selections for the request, like a failure. Where no other replica can run it, it was refused at once. A request that waited for a place also did not look whether its model was still loaded, and spent the place on a refusal.

The change: such a refusal, unlike one of another incarnation, no longer excludes the replica; the request waits for the load like others, within its attempts, the retry budget and its deadline. After a wait for a place it is dispatched again if the model is gone.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -274,10 +274,12 @@
 	struct backend *b = x->backend;
 
 	if (x->meta.replica[0] != '\0' &&
-	    strcmp(x->meta.replica, b->entry.id) != 0)
+	    strcmp(x->meta.replica, b->entry.id) != 0) {
 		b->superseded = true;
-	else
+	} else {
 		backend_mark_uncertain(b, clock_now(x->gateway->process.clock));
+		exchange_forget_tried(x, b); /* it can load the model again */
+	}
 	log_info(x->gateway->process.logger, "replica refused as misdirected",
 	    LF_S("request", x->params.id), LF_S("replica", b->entry.id),
 	    LF_S("answered_by", x->meta.replica));
--- a/src/gateway/exchange_backend.c
+++ b/src/gateway/exchange_backend.c
@@ -146,6 +146,19 @@
 		exchange_note_outcome(x, OUTLIER_FAILED);
 }
 
+void
+exchange_forget_tried(struct exchange *x, const struct backend *b)
+{
+	uint64_t id = candidates_id_hash(b);
+
+	for (unsigned i = 0; i < x->tried_count;) {
+		if (x->tried[i] == id)
+			x->tried[i] = x->tried[--x->tried_count];
+		else
+			i++;
+	}
+}
+
 void
 exchange_note_tried(struct exchange *x, const struct backend *b)
 {
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -157,6 +157,8 @@
 void exchange_drop_call(struct exchange *);
 /* Excludes the replica from further selections for this request. */
 void exchange_note_tried(struct exchange *, const struct backend *);
+/* The replica may run the request after all. */
+void exchange_forget_tried(struct exchange *, const struct backend *);
 /* Counts the outcome for the replica's ejection. */
 void exchange_note_outcome(struct exchange *, enum outlier_kind);
 /*
--- a/src/gateway/exchange_limit.c
+++ b/src/gateway/exchange_limit.c
@@ -35,12 +35,20 @@
 	exchange_dispatch(x);
 }
 
+/* The model may have been unloaded while the request waited. */
+static bool
+still_has_model(const struct exchange *x)
+{
+	return x->params.model[0] == '\0' ||
+	       backend_has_loaded(x->backend, x->params.model);
+}
+
 static void
 on_limit_timer(int fd, short what, void *arg)
 {
 	struct exchange *x = arg;
 
-	if (backend_takes_work(x->backend))
+	if (backend_takes_work(x->backend) && still_has_model(x))
 		exchange_send_now(x);
 	else
 		choose_other(x);
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -80,6 +80,51 @@
 	return per_gateway * FLEET_GATEWAYS;
 }
 
+static bool
+has_one_engine(void *gateway)
+{
+	return proc_log_contains(gateway, "\"msg\":\"replica gone\"");
+}
+
+static void
+unload(const struct fleet_backend *engine, const char *model)
+{
+	char *target =
+	    g_strdup_printf("Tamarackmast-Expect-Instance: %s", engine->id);
+	char *order =
+	    g_strdup_printf("{\"operation\":\"unload\",\"model\":\"%s\","
+			    "\"holder\":\"t\",\"fence\":1}",
+		model);
+	const char *headers[] = { target, NULL };
+	struct response resp;
+
+	http_call(&resp, "POST", engine->address, "/-/order", headers, order);
+	g_assert_cmpint(resp.code, ==, 202);
+	response_clear(&resp);
+	g_free(target);
+	g_free(order);
+}
+
+/* The only engine has just unloaded the model, which gateways hear later. */
+static void
+test_unloaded_model_is_refused(void)
+{
+	struct response resp;
+	int r;
+
+	fleet_start();
+	fleet_write_key("keyed.servers", fleet.engines[0].id, NULL);
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		await_true(has_one_engine, &fleet.gateways[i], "one engine");
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		unload(&fleet.engines[1], "m1");
+		r = fleet_request(&resp, i, "/stream/1", "m1");
+		g_assert_true(fleet_is_complete_stream(&resp, r));
+		response_clear(&resp);
+	}
+	fleet_stop();
+}
+
 /* Another replica completes a stream that breaks off, in one response. */
 static void
 test_resumes_stream(void)
@@ -664,6 +709,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gateway/serves", test_serves);
 	g_test_add_func("/gateway/cold_models", test_cold_models);
+	g_test_add_func("/gateway/unloaded_model_is_refused",
+	    test_unloaded_model_is_refused);
 	g_test_add_func("/gateway/resumes", test_resumes_stream);
 	g_test_add_func("/gateway/broken_off_stream_looks_complete",
 	    test_broken_off_stream_looks_complete);
