common, coordination: a second SIGTERM no longer kills a daemon that is ending

What an operator would see: exit by signal instead of status 0 if SIGTERM, SIGINT or SIGHUP comes once more while a daemon closes what it holds, and connections and logs that are cut off there.

Cause: freeing the event of a signal restores its default action, and the process still had its modules to close.

Evidence: test_agent_loads saw wait status 15 once in 20 runs of make check, when its second SIGTERM met an agent that was ending. With a SIGTERM at every moment until the process has ended (proc_stop_repeatedly(), now used there, and /gateway/second_sigterm_kills) gateway, sidecar and agent failed in 6 of 6 runs.

The change: the signals are blocked while their events are freed, and ignored from then on; daemon.c and process.c use one function.

--- a/src/common/process.c
+++ b/src/common/process.c
@@ -33,10 +33,11 @@
 		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
+static const int signals[PROCESS_SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
+
 int
 process_open(struct process *p, const struct process_options *opts)
 {
-	static const int signals[PROCESS_SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
 	struct logger_options log = {
 		.process = opts->name,
 		.level = LOG_LEVEL_INFO,
@@ -69,12 +70,26 @@
 }
 
 void
-process_close(struct process *p)
+process_free_signals(struct event *events[PROCESS_SIGNALS])
 {
+	sigset_t set, old;
+
+	sigemptyset(&set);
+	for (int i = 0; i < PROCESS_SIGNALS; i++)
+		sigaddset(&set, signals[i]);
+	sigprocmask(SIG_BLOCK, &set, &old);
 	for (int i = 0; i < PROCESS_SIGNALS; i++) {
-		if (p->signals[i] != NULL)
-			event_free(p->signals[i]);
+		if (events[i] != NULL)
+			event_free(events[i]); /* restores the default action */
+		(void)signal(signals[i], SIG_IGN);
 	}
+	sigprocmask(SIG_SETMASK, &old, NULL);
+}
+
+void
+process_close(struct process *p)
+{
+	process_free_signals(p->signals);
 	if (p->logger != NULL)
 		logger_destroy(p->logger);
 	if (p->metrics != NULL)
--- a/src/common/process.h
+++ b/src/common/process.h
@@ -41,6 +41,12 @@
  */
 int process_open(struct process *, const struct process_options *);
 void process_close(struct process *);
+/*
+ * Frees the events of SIGTERM, SIGINT and SIGHUP, any of which may be NULL, and
+ * ignores these signals from now on: a second one would end the process before
+ * it has closed what it holds.
+ */
+void process_free_signals(struct event *signals[PROCESS_SIGNALS]);
 
 /*
  * Creates a one-shot timer of the event loop, not started; freed by
--- a/src/coordination/daemon.c
+++ b/src/coordination/daemon.c
@@ -11,6 +11,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "common/process.h"
 #include "common/rng.h"
 #include "common/trace.h"
 #include "coordination/membership.h"
@@ -37,7 +38,7 @@
 	struct peer_ping *peer_ping;
 	struct vm_list_sync *vm_list_sync;
 	struct event *leave_check;
-	struct event *signals[3];
+	struct event *signals[PROCESS_SIGNALS];
 };
 
 static struct daemon_impl *
@@ -452,10 +453,10 @@
 static void
 create_signals(struct daemon_impl *d)
 {
-	static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+	static const int numbers[PROCESS_SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
 
 	signal(SIGPIPE, SIG_IGN);
-	for (size_t i = 0; i < 3; i++) {
+	for (size_t i = 0; i < PROCESS_SIGNALS; i++) {
 		d->signals[i] =
 		    evsignal_new(d->pub.base, numbers[i], on_signal, d);
 		if (d->signals[i] != NULL)
@@ -519,10 +520,7 @@
 
 	if (d == NULL)
 		return;
-	for (size_t i = 0; i < 3; i++) {
-		if (d->signals[i] != NULL)
-			event_free(d->signals[i]);
-	}
+	process_free_signals(d->signals);
 	rpc_destroy(d->pub.rpc);
 	peer_ping_destroy(d->peer_ping);
 	if (d->leave_check != NULL)
--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -239,6 +239,21 @@
 	g_assert_cmpint(status, ==, 0);
 }
 
+void
+proc_stop_repeatedly(struct proc *p)
+{
+	int64_t limit = now_ms() + HARNESS_TIMEOUT_MS;
+	int status = 0;
+
+	g_assert_cmpint(p->pid, >, 0);
+	while (waitpid(p->pid, &status, WNOHANG) == 0) {
+		proc_signal(p, SIGTERM);
+		g_assert_cmpint(now_ms(), <, limit);
+	}
+	p->pid = 0;
+	g_assert_cmpint(status, ==, 0);
+}
+
 bool
 proc_is_running(struct proc *p)
 {
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -120,6 +120,8 @@
 void proc_kill(struct proc *);
 /* Sends SIGTERM and waits; asserts exit status 0. */
 void proc_stop(struct proc *);
+/* The same with a SIGTERM at every moment until the process has ended. */
+void proc_stop_repeatedly(struct proc *);
 bool proc_is_running(struct proc *);
 /* Frees the arguments of a process that has ended. */
 void proc_clear(struct proc *);
--- a/test/process/test_agent_loads.c
+++ b/test/process/test_agent_loads.c
@@ -169,7 +169,7 @@
 	g_thread_join(thread);
 	g_assert_true(b.ok);
 	for (int i = 0; i < 2; i++)
-		proc_stop(&cluster->engines[i].daemon);
+		proc_stop_repeatedly(&cluster->engines[i].daemon);
 	assert_no_overcommit();
 }
 
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -457,6 +457,15 @@
 	fleet_stop();
 }
 
+static void
+test_second_sigterm_kills(void)
+{
+	fleet_start();
+	proc_stop_repeatedly(&fleet.engines[0].sidecar);
+	proc_stop_repeatedly(&fleet.gateways[1]);
+	fleet_stop();
+}
+
 /* A gateway that starts while the store hangs gets its state from a peer. */
 static void
 test_starts_without_store(void)
@@ -732,6 +741,8 @@
 	g_test_add_func(
 	    "/gateway/waits_for_deployment", test_waits_for_deployment);
 	g_test_add_func("/gateway/graceful_stop", test_graceful_stop);
+	g_test_add_func(
+	    "/gateway/second_sigterm_kills", test_second_sigterm_kills);
 	g_test_add_func("/gateway/idle_callers", test_idle_callers);
 	g_test_add_func("/gateway/aborted_stream_looks_complete_to_http_1_0",
 	    test_aborted_stream_looks_complete_to_http_1_0);
