test: what a thread restarts ended with the thread

/limit/limit_is_broken_by_restarts restarted gateways and sidecars in a thread of its own. The kernel kills a process when the thread that has started it ends, so that for the last four of nine seconds there was neither a sidecar nor a second gateway, and fewer requests than the test was made for.

The load runs in the thread now and the restarts in the main one; the test also checks that something is served and that both gateways run at the end.

--- a/test/process/test_limit.c
+++ b/test/process/test_limit.c
@@ -185,8 +185,8 @@
 	fleet_stop();
 }
 
-static void *
-restart_gateways_and_sidecars(void *ctx)
+static void
+restart_gateways_and_sidecars(void)
 {
 	for (int i = 0; i < FLEET_ENGINES; i++) {
 		char *name = g_strdup_printf("sidecar-%d-again", i);
@@ -201,21 +201,35 @@
 		fleet_start_gateway(1);
 		g_free(name);
 	}
+}
+
+static void *
+run_load_of_m1(void *outcomes)
+{
+	*(struct outcomes *)outcomes =
+	    run_load("/stream/1", "Tamarackmast-Model: m1");
 	return NULL;
 }
 
-/* What was granted before a restart counts after it. */
+/*
+ * What was granted before a restart counts after it.  The restarts are made
+ * here, as processes end with the thread that has started them.
+ */
 static void
 test_limit_is_broken_by_restarts(void)
 {
+	struct outcomes out;
 	GThread *thread;
 
 	fleet_start();
 	set_limit(fleet.engines, FLEET_ENGINES, 2);
-	thread = g_thread_new("restarts", restart_gateways_and_sidecars, NULL);
-	(void)run_load("/stream/1", "Tamarackmast-Model: m1");
+	thread = g_thread_new("load", run_load_of_m1, &out);
+	restart_gateways_and_sidecars();
 	g_thread_join(thread);
 	check_limit(fleet.engines, FLEET_ENGINES, 2);
+	g_assert_cmpint(out.served, >, 0);
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		g_assert_true(proc_is_running(&fleet.gateways[i]));
 	fleet_stop();
 }
 
