coordination: a repeat that meets an unread answer waits for it

What callers saw: 409 KEY_IN_USE, outcome unknown, for a booking that is repeated with its Idempotency-Key right after it was answered.

Cause: the answer leaves before its record has been read back from the log. The repeat found the key taken and without an answer, and was refused.

The change: the agent keeps the keys whose answers it has recorded and not read back. A repeat of such a request appends a claim of its own, which loses, and is read after the answer in the same stream; it gets the answer then. Nothing is appended twice, and an answer is not delayed.

--- a/src/coordination/claim_writer.c
+++ b/src/coordination/claim_writer.c
@@ -13,6 +13,7 @@
 #include "common/metrics.h"
 #include "common/rng.h"
 #include "coordination/log_follower.h"
+#include "coordination/unread_answers.h"
 #include "protocol/codec.h"
 #include "transport/platform_log.h"
 
@@ -57,6 +58,7 @@
 	struct log_follower *follower;
 	struct pending_records queued;
 	struct pending_records sent; /* in the pending append */
+	struct unread_answers *unread;
 	bool appending; /* an append is pending */
 	int64_t pause_until_us; /* after a failed append */
 };
@@ -299,8 +301,9 @@
 }
 
 static void
-apply_batch(struct claim_writer *w, const struct log_record *record)
+apply_batch(struct partition *p, const struct log_record *record)
 {
+	struct claim_writer *w = p->writer;
 	struct tm_claim_batch batch = { 0 };
 
 	if (codec_decode((xdrproc_t)xdr_tm_claim_batch, record->data,
@@ -309,9 +312,15 @@
 		    LF_I("offset", (int64_t)record->offset));
 		return;
 	}
-	for (u_int i = 0; i < batch.records.records_len; i++)
-		claims_apply(w->claims, &batch.records.records_val[i],
-		    clock_now(w->opts.clock));
+	for (u_int i = 0; i < batch.records.records_len; i++) {
+		const struct tm_claim_record *rec =
+		    &batch.records.records_val[i];
+
+		claims_apply(w->claims, rec, clock_now(w->opts.clock));
+		if (rec->type == TM_CLAIM_DONE &&
+		    rec->incarnation == w->opts.incarnation)
+			unread_answers_remove(p->unread, rec->key);
+	}
 	xdr_free((xdrproc_t)xdr_tm_claim_batch, (char *)&batch);
 }
 
@@ -331,10 +340,11 @@
 	if (batch->status == LOG_EXPIRED) {
 		/* Keys in expired records are past their lifetime too. */
 		p->position = batch->first;
+		unread_answers_clear(p->unread);
 		return;
 	}
 	for (size_t i = 0; i < batch->count; i++)
-		apply_batch(p->writer, &batch->records[i]);
+		apply_batch(p, &batch->records[i]);
 	p->position = batch->next;
 }
 
@@ -368,10 +378,13 @@
 	struct claim_op *op;
 	enum result code;
 
-	if (caught_up(w, key) && claim.state != CLAIM_FREE) {
+	if (caught_up(w, key) && claim.state != CLAIM_FREE &&
+	    !(claim.digest == digest && claim.state == CLAIM_TAKEN &&
+		unread_answers_has(partition_of(w, key)->unread, key))) {
 		report_earlier_claim(w, &claim, digest, done, ctx);
 		return NULL;
 	}
+	/* A claim that follows an unread answer is read back after it. */
 	code = take_error(w, key);
 	if (code != RESULT_OK) {
 		done(ctx, code, NULL);
@@ -436,6 +449,7 @@
 		memcpy(rec.answer.answer_val, answer, len);
 	}
 	queue_record(w, TM_CLAIM_DONE, key, &owner, &rec);
+	unread_answers_add(partition_of(w, key)->unread, key);
 }
 
 void
@@ -505,9 +519,10 @@
 	p->position = 1;
 	TAILQ_INIT(&p->queued);
 	TAILQ_INIT(&p->sent);
+	p->unread = unread_answers_create();
 	snprintf(p->stream, sizeof(p->stream), "claims.%u", number);
 	p->follower = log_follower_create(&follower);
-	if (p->follower == NULL)
+	if (p->unread == NULL || p->follower == NULL)
 		abort();
 }
 
@@ -560,6 +575,7 @@
 	struct pending_record *r;
 
 	log_follower_destroy(p->follower);
+	unread_answers_destroy(p->unread);
 	TAILQ_CONCAT(&p->queued, &p->sent, link);
 	while ((r = TAILQ_FIRST(&p->queued)) != NULL) {
 		TAILQ_REMOVE(&p->queued, r, link);
--- a/test/process/test_agent_once.c
+++ b/test/process/test_agent_once.c
@@ -56,6 +56,25 @@
 	response_clear(&again);
 }
 
+/* The answer has left, and its record is not in the log yet. */
+static void
+test_replay_meets_unread_answer(void)
+{
+	int64_t before = count_runs();
+	struct response first, again;
+
+	set_faults(cluster->log, "{\"delay_ms\": 200}");
+	send_booking(&first, 0, "unread", "{}");
+	g_assert_cmpint(first.code, ==, 200);
+	send_booking(&again, 1, "unread", "{}");
+	set_faults(cluster->log, "{\"delay_ms\": 0}");
+	g_assert_cmpint(again.code, ==, 200);
+	g_assert_cmpstr(again.body, ==, first.body);
+	g_assert_cmpint(count_runs(), ==, before + 1);
+	response_clear(&first);
+	response_clear(&again);
+}
+
 static void
 test_reuse(void)
 {
@@ -215,6 +234,8 @@
 	g_test_init(&argc, &argv, NULL);
 	cluster = cluster_start(&opts);
 	g_test_add_func("/once/replay", test_replay);
+	g_test_add_func("/once/replay_meets_unread_answer",
+	    test_replay_meets_unread_answer);
 	g_test_add_func("/once/reuse", test_reuse);
 	g_test_add_func("/once/race", test_race);
 	g_test_add_func("/once/agent_killed", test_agent_killed);
