--- a/test/unit/test_crash_parts.c
+++ b/test/unit/test_crash_parts.c
@@ -12,6 +12,7 @@
 #include "common/clock.h"
 #include "common/rng.h"
 #include "coordination/crash_parts.h"
+#include "protocol/tm_xdr.h"
 
 #define FIRST 1 /* part that all requests of the route have */
 #define POISON 2
@@ -87,8 +88,34 @@
 	unsigned poisoned_sent, poisoned_after_5;
 	/* Of the request REPEATED. */
 	unsigned repeated_crashes, repeated_after_3;
+	unsigned told; /* losses that a gateway tells the others */
 };
 
+#define REPLAY_US (100 * USEC_PER_SEC)
+/* A call's record mark, header and verifier, and its arguments. */
+#define CALL_BYTES (4 + 24 + 8 + 24)
+/* The target of docs/DEVELOPERS.md for a daemon's control traffic. */
+#define CONTROL_BYTES_PER_S 2048
+
+static uint64_t
+told_bytes(const struct load *l)
+{
+	struct tm_crash msg = { 0 };
+
+	return l->told *
+	       (CALL_BYTES + xdr_sizeof((xdrproc_t)xdr_tm_crash, &msg));
+}
+
+/* What one gateway receives of the others. */
+static void
+check_told(const struct load *l)
+{
+	g_test_message(
+	    "%u losses told, %u bytes", l->told, (unsigned)told_bytes(l));
+	g_assert_cmpuint(
+	    told_bytes(l), <=, CONTROL_BYTES_PER_S * REPLAY_US / USEC_PER_SEC);
+}
+
 /* Sends the request to a replica that is up; returns false without one. */
 static bool
 send_request(struct load *l, struct request *r)
@@ -167,19 +194,25 @@
 	run_request(l, again);
 }
 
+static void
+lose_part(struct load *l, const struct crash_loss *loss)
+{
+	l->told += crash_parts_lost(l->cp, loss, l->now) && !loss->begun;
+}
+
 static void
 lose_request(struct load *l, const struct request *r, uint64_t incarnation)
 {
 	struct crash_loss loss = { FIRST, incarnation, WHOLE + r->id, 0,
 		!r->poisoned && l->now - r->sent_us >= BEGUN_US };
 
-	(void)crash_parts_lost(l->cp, &loss, l->now);
+	lose_part(l, &loss);
 	loss.part = r->part;
 	loss.position = 1;
-	(void)crash_parts_lost(l->cp, &loss, l->now);
+	lose_part(l, &loss);
 	loss.part = WHOLE + r->id;
 	loss.position = CRASH_PARTS_WHOLE;
-	(void)crash_parts_lost(l->cp, &loss, l->now);
+	lose_part(l, &loss);
 }
 
 static void
@@ -254,7 +287,7 @@
 	rng_seed(&l->rng, seed);
 	for (unsigned i = 0; i < REPLICAS; i++)
 		l->incarnation[i] = i;
-	while (l->now < 100 * USEC_PER_SEC) {
+	while (l->now < REPLAY_US) {
 		if (rng_real(&l->rng) < 0.08)
 			start_request(l, pick_sound_part(l));
 		if (part && rng_real(&l->rng) < 0.03 &&
@@ -286,6 +319,7 @@
 			g_assert_cmpuint(l.crashes, <=, 5 + 3);
 		/* At least half of the sound ones begin, as without crashes. */
 		g_assert_cmpuint(2 * l.sound_refused, <, l.sound);
+		check_told(&l);
 		crash_parts_destroy(l.cp);
 	}
 }
@@ -321,6 +355,7 @@
 		if (part)
 			g_assert_cmpuint(l.poisoned_after_5, <=, 3);
 		g_assert_cmpuint(2 * l.sound_refused, <, l.sound);
+		check_told(&l);
 		crash_parts_destroy(l.cp);
 	}
 }
