--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -17,6 +17,9 @@
  *	slow		factor on token times, and on the times of loads that
  *			do not fetch from the weight store
  *	die_mid_load	accepted, without effect
+ *	crash_prompt	crash when the answer to a prompt with this text begins:
+ *			close the connections of all streams, and accept no
+ *			request for crash_ms
  */
 #include "standin/engine.h"
 #include "standin/standin.h"
@@ -25,6 +28,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <bsd/string.h>
 #include <event2/event.h>
 
 static void
@@ -35,7 +39,9 @@
 	    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	const char *streams = "/engine/streams/";
 
-	if (strcmp(path, "/engine/state") == 0)
+	if (e->crashed && strcmp(path, "/journal") != 0)
+		standin_drop(req);
+	else if (strcmp(path, "/engine/state") == 0)
 		engine_handle_state(e, req);
 	else if (strcmp(path, "/engine/orders") == 0)
 		engine_handle_order(e, req);
@@ -66,6 +72,11 @@
 		e->slow = json_number_value(value);
 	else if (strcmp(name, "die_mid_load") == 0)
 		e->die_mid_load = json_is_true(value);
+	else if (strcmp(name, "crash_prompt") == 0)
+		strlcpy(e->crash_prompt, json_string_value(value),
+		    sizeof(e->crash_prompt));
+	else if (strcmp(name, "crash_ms") == 0)
+		e->crash_ms = json_integer_value(value);
 	else
 		return -1;
 	return 0;
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -43,6 +43,10 @@
 	int64_t fail_loads;
 	double slow;
 	bool die_mid_load;
+	char crash_prompt[ENGINE_NAME_MAX]; /* "": none */
+	int64_t crash_ms;
+	bool crashed; /* answers nothing but its journal */
+	struct event *restart_timer;
 	/* Running streams as reported, and when the number was updated. */
 	int64_t reported_us;
 	unsigned reported_running;
@@ -58,6 +62,7 @@
 	int64_t repeated_runs; /* started with the id of an earlier run */
 	int64_t tokens;
 	int64_t cancelled;
+	int64_t crashes;
 	int64_t idle_loaded_us; /* time with a model in memory and no run */
 	int64_t busy_loaded_us; /* time with a run */
 	int64_t loaded_time_updated_us; /* when the two were last updated */
--- a/src/standin/engine_loads.c
+++ b/src/standin/engine_loads.c
@@ -438,7 +438,7 @@
 	engine_update_loaded_time(e);
 	standin_reply(e->standin, req, 200,
 	    json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
-		      "s:I}",
+		      "s:I,s:I}",
 		"memory_total", (json_int_t)e->memory_total, "peak_used",
 		(json_int_t)e->peak_used, "loads", (json_int_t)e->loads,
 		"unloads", (json_int_t)e->unloads, "adapter_loads",
@@ -447,7 +447,8 @@
 		"double_loads", (json_int_t)e->double_loads, "started_runs",
 		(json_int_t)e->started_runs, "repeated_runs",
 		(json_int_t)e->repeated_runs, "tokens", (json_int_t)e->tokens,
-		"cancelled", (json_int_t)e->cancelled, "idle_loaded_us",
+		"cancelled", (json_int_t)e->cancelled, "crashes",
+		(json_int_t)e->crashes, "idle_loaded_us",
 		(json_int_t)e->idle_loaded_us, "busy_loaded_us",
 		(json_int_t)e->busy_loaded_us));
 }
--- a/src/standin/engine_runs.c
+++ b/src/standin/engine_runs.c
@@ -43,6 +43,7 @@
 	uint64_t seed; /* of synthetic_token() */
 	struct evhttp_request *req; /* attached caller; NULL: none */
 	bool reply_started;
+	bool crashes; /* the engine, instead of its first token */
 	bool cancelled; /* resumed by a generate request with the same id */
 	struct event *timer;
 	TAILQ_ENTRY(run) link;
@@ -241,6 +242,37 @@
 	add_timer(r, ENDED_RUN_KEEP_US);
 }
 
+static void
+on_restart(evutil_socket_t fd, short what, void *arg)
+{
+	struct engine_server *e = arg;
+
+	e->crashed = false;
+}
+
+/* All runs are lost; the models stay in memory. */
+static void
+crash(struct engine_server *e)
+{
+	struct timeval tv = clock_timeval(e->crash_ms * USEC_PER_MSEC);
+	struct run *r;
+
+	e->crashed = true;
+	e->crashes++;
+	engine_update_loaded_time(e);
+	e->running = 0;
+	while ((r = TAILQ_FIRST(&e->runs)) != NULL) {
+		struct evhttp_request *req = r->req;
+
+		run_free(r);
+		if (req != NULL)
+			standin_drop(req);
+	}
+	if (e->restart_timer == NULL)
+		e->restart_timer = evtimer_new(e->base, on_restart, e);
+	evtimer_add(e->restart_timer, &tv);
+}
+
 static void
 on_run_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -251,6 +283,10 @@
 		run_free(r);
 		return;
 	}
+	if (r->crashes) {
+		crash(e);
+		return;
+	}
 	r->generated++;
 	e->tokens++;
 	if (r->generated >= r->max_tokens)
@@ -326,6 +362,8 @@
 	r->max_tokens = (unsigned)max_tokens;
 	r->prompt_tokens = (unsigned)(len / BYTES_PER_TOKEN + 1);
 	r->seed = synthetic_seed(prompt, len);
+	r->crashes = e->crash_prompt[0] != '\0' &&
+		     strstr(prompt, e->crash_prompt) != NULL;
 	if (use_prefix(e, prefix))
 		r->cached_tokens = r->prompt_tokens / 2;
 	r->timer = evtimer_new(e->base, on_run_timer, r);
--- a/src/standin/service.c
+++ b/src/standin/service.c
@@ -1,10 +1,15 @@
 /*
  * Stand-in of a plain service whose calls have a side effect, a booking.
  *
- *	GET /journal	{"count", "runs": [{"request", "path", "body"}, ...]}
+ *	GET /journal	{"count", "crashes", "runs":
+ *			[{"request", "path", "body"}, ...]}
  *	any other	records a run, and answers {"booked": n} after work_ms
  *
- * The fault work_ms, besides those of all stand-ins, sets the time of a call.
+ * Faults besides those of all stand-ins:
+ *
+ *	work_ms		time of a call
+ *	crash_path	crash when a call with this text in its path is run:
+ *close the connections of all calls, and accept none for crash_ms
  */
 #include "standin/standin.h"
 
@@ -12,9 +17,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <bsd/string.h>
+#include <bsd/sys/queue.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 
+#include "common/clock.h"
 #include "transport/http_server.h"
 
 struct service_server {
@@ -24,6 +32,12 @@
 	int64_t work_ms;
 	json_t *journal; /* array of runs */
 	int64_t count; /* of runs */
+	int64_t crashes;
+	char crash_path[64]; /* "": none */
+	int64_t crash_ms;
+	bool crashed; /* answers nothing but its journal */
+	struct event *restart_timer;
+	TAILQ_HEAD(, call) calls;
 };
 
 struct call {
@@ -31,21 +45,63 @@
 	struct evhttp_request *req; /* NULL once the caller disconnected */
 	int64_t number;
 	struct event *timer;
+	TAILQ_ENTRY(call) link;
 };
 
+/* Returns its request, NULL if the caller has disconnected. */
+static struct evhttp_request *
+end_call(struct call *c)
+{
+	struct evhttp_request *req = c->req;
+
+	if (req != NULL)
+		evhttp_connection_set_closecb(
+		    evhttp_request_get_connection(req), NULL, NULL);
+	TAILQ_REMOVE(&c->server->calls, c, link);
+	event_free(c->timer);
+	free(c);
+	return req;
+}
+
 static void
 on_call_done(evutil_socket_t fd, short what, void *arg)
 {
 	struct call *c = arg;
+	struct standin *standin = c->server->standin;
+	json_int_t number = c->number;
+	struct evhttp_request *req = end_call(c);
 
-	if (c->req != NULL) {
-		evhttp_connection_set_closecb(
-		    evhttp_request_get_connection(c->req), NULL, NULL);
-		standin_reply(c->server->standin, c->req, 200,
-		    json_pack("{s:I}", "booked", (json_int_t)c->number));
+	if (req != NULL)
+		standin_reply(
+		    standin, req, 200, json_pack("{s:I}", "booked", number));
+}
+
+static void
+on_restart(evutil_socket_t fd, short what, void *arg)
+{
+	struct service_server *server = arg;
+
+	server->crashed = false;
+}
+
+static void
+crash(struct service_server *server)
+{
+	struct timeval tv = clock_timeval(server->crash_ms * USEC_PER_MSEC);
+
+	server->crashed = true;
+	server->crashes++;
+	while (!TAILQ_EMPTY(&server->calls)) {
+		struct evhttp_request *req =
+		    end_call(TAILQ_FIRST(&server->calls));
+
+		if (req != NULL)
+			standin_drop(req);
 	}
-	event_free(c->timer);
-	free(c);
+	if (server->restart_timer == NULL)
+		server->restart_timer =
+		    evtimer_new(server->base, on_restart, server);
+	evtimer_add(server->restart_timer, &tv);
 }
 
 static void
@@ -81,7 +137,11 @@
 	c->timer = evtimer_new(server->base, on_call_done, c);
 	evhttp_connection_set_closecb(
 	    evhttp_request_get_connection(req), on_caller_disconnected, c);
+	TAILQ_INSERT_TAIL(&server->calls, c, link);
 	evtimer_add(c->timer, &tv);
+	if (server->crash_path[0] != '\0' &&
+	    strstr(evhttp_request_get_uri(req), server->crash_path) != NULL)
+		crash(server);
 }
 
 static void
@@ -91,8 +151,11 @@
 
 	if (strcmp(evhttp_request_get_uri(req), "/journal") == 0)
 		http_reply_json(req, 200,
-		    json_pack("{s:I,s:O}", "count", (json_int_t)server->count,
-			"runs", server->journal));
+		    json_pack("{s:I,s:I,s:O}", "count",
+			(json_int_t)server->count, "crashes",
+			(json_int_t)server->crashes, "runs", server->journal));
+	else if (server->crashed)
+		standin_drop(req);
 	else
 		run_call(server, req);
 }
@@ -102,9 +165,15 @@
 {
 	struct service_server *server = ctx;
 
-	if (strcmp(name, "work_ms") != 0)
+	if (strcmp(name, "work_ms") == 0)
+		server->work_ms = json_integer_value(value);
+	else if (strcmp(name, "crash_path") == 0)
+		strlcpy(server->crash_path, json_string_value(value),
+		    sizeof(server->crash_path));
+	else if (strcmp(name, "crash_ms") == 0)
+		server->crash_ms = json_integer_value(value);
+	else
 		return -1;
-	server->work_ms = json_integer_value(value);
 	return 0;
 }
 
@@ -144,6 +213,7 @@
 		.ctx = &server,
 	};
 
+	TAILQ_INIT(&server.calls);
 	if (argp_parse(&argp, argc, argv, 0, NULL, &server) != 0 ||
 	    server.listen == NULL)
 		return 2;
