entry, agent: a job that crashes backend servers is barred

Cause: an entry sends a repeatable job again at the next agent after its backend server was lost, callers repeat it at any entry, and nothing counted the ends.

The change: entry/crash_bar.c knows a job again by a keyed hash of its content and applies the gateways' policy (coordination/crash_parts.c, no second copy); losses, answers and trials go through a stream of the log (coordination/crash_log.c). It is checked before each attempt.

--- a/src/agent/execute.c
+++ b/src/agent/execute.c
@@ -13,6 +13,12 @@
 #include "common/trace.h"
 #include "coordination/loader.h"
 
+static enum result
+lost_result(bool conn_lost)
+{
+	return conn_lost ? RESULT_BACKEND_ENDED : RESULT_BACKEND_FAILED;
+}
+
 /* ---- the engine ---- */
 
 static void
@@ -48,8 +54,8 @@
 		agent_end_job(a, job, JOB_NOT_RUN, RESULT_BACKEND_UNREACHABLE,
 		    OUTCOME_NOT_RUN);
 	} else {
-		agent_end_job(
-		    a, job, JOB_DONE, RESULT_BACKEND_FAILED, OUTCOME_UNKNOWN);
+		agent_end_job(a, job, JOB_DONE, lost_result(end->conn_lost),
+		    OUTCOME_UNKNOWN);
 	}
 	a->schedule(a);
 }
@@ -161,8 +167,8 @@
 		    OUTCOME_NOT_RUN);
 		break;
 	case SERVICE_LOST:
-		agent_end_job(
-		    a, job, JOB_DONE, RESULT_BACKEND_FAILED, OUTCOME_UNKNOWN);
+		agent_end_job(a, job, JOB_DONE, lost_result(answer->conn_lost),
+		    OUTCOME_UNKNOWN);
 		break;
 	}
 	a->schedule(a);
--- a/src/coordination/crash_parts.c
+++ b/src/coordination/crash_parts.c
@@ -14,6 +14,15 @@
 #define WHOLES_ANSWERED 4096 /* kept, one for each remainder of the hash */
 #define CRASHES_KEPT 128 /* incarnations, the newest */
 
+const struct crash_parts_options crash_parts_defaults = {
+	/* Replicas end for other reasons too: an answer this recent outweighs
+	 * that. */
+	.immunity_us = 20 * USEC_PER_SEC,
+	.trial_us = 5 * USEC_PER_SEC,
+	.trial_factor = 10,
+	.trial_max_us = 1800 * USEC_PER_SEC,
+};
+
 struct part {
 	uint64_t id;
 	bool answered; /* answered_us is set */
--- a/src/coordination/crash_parts.h
+++ b/src/coordination/crash_parts.h
@@ -43,6 +43,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/clock.h"
+
 #define CRASH_PARTS_LOSSES 3 /* incarnations; bar a part */
 #define CRASH_PARTS_SURE 5 /* incarnations; do so whatever else ends */
 /* The same for a whole request: it bars no other. */
@@ -62,6 +64,11 @@
 	int64_t trial_max_us;
 };
 
+/* What gateways and entries use, with max_parts to be set. */
+extern const struct crash_parts_options crash_parts_defaults;
+/* Losses older than this are forgotten: longer than between two trials. */
+#define CRASH_PARTS_KEEP_US (3600 * USEC_PER_SEC)
+
 /* A request with the part was lost with a replica. */
 struct crash_loss {
 	uint64_t part; /* id */
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -14,6 +14,7 @@
 #include "coordination/prefix_map.h"
 #include "coordination/retry_budget.h"
 #include "coordination/tenant_requests.h"
+#include "entry/crash_bar.h"
 #include "entry/entry.h"
 #include "entry/peer_stats.h"
 #include "entry/service_index.h"
@@ -42,11 +43,13 @@
 		return NULL;
 	t->entry = entry;
 	t->demand = demand;
+	t->crash_bar = crash_bar_create(entry->daemon);
 	t->budget = retry_budget_create(&budget);
 	t->prefixes = prefix_map_create(PREFIXES_MAX);
 	t->tenants = tenant_requests_create();
 	t->services = service_index_create(entry->daemon->membership);
-	if (t->budget == NULL || t->prefixes == NULL || t->tenants == NULL)
+	if (t->crash_bar == NULL || t->budget == NULL || t->prefixes == NULL ||
+	    t->tenants == NULL)
 		abort();
 	rng_seed_system(&t->rng);
 	TAILQ_INIT(&t->pending_cancels);
@@ -98,6 +101,14 @@
 
 /* ---- pending calls ---- */
 
+uint64_t
+request_job(struct request *r)
+{
+	if (r->job == 0)
+		r->job = crash_bar_job(r->table->crash_bar, &r->args);
+	return r->job;
+}
+
 struct request_call *
 request_call_begin(struct request *r)
 {
@@ -299,6 +310,9 @@
 static void
 handle_failure(struct request *r, const struct tm_finish *f)
 {
+	if (f->code == RESULT_BACKEND_ENDED)
+		crash_bar_lost(r->table->crash_bar, request_job(r), r->vm,
+		    r->next_chunk > 0);
 	if (f->outcome == OUTCOME_NOT_RUN) {
 		r->retry_after_ms = f->retry_after_ms;
 		request_attempt_refused(r, (enum result)f->code);
@@ -339,6 +353,7 @@
 		recover_missing_chunks(r);
 	else {
 		request_record_duration(r);
+		crash_bar_answered(t->crash_bar, request_job(r));
 		end_request(r, &result);
 	}
 }
@@ -545,6 +560,7 @@
 	HASH_ITER(hh, t->requests, r, next)
 		request_free(r);
 	request_pending_cancels_free(t);
+	crash_bar_destroy(t->crash_bar);
 	retry_budget_destroy(t->budget);
 	prefix_map_destroy(t->prefixes);
 	tenant_requests_destroy(t->tenants);
--- a/src/entry/request_dispatch.c
+++ b/src/entry/request_dispatch.c
@@ -15,6 +15,7 @@
 #include "coordination/retry_budget.h"
 #include "coordination/router.h"
 #include "coordination/store.h"
+#include "entry/crash_bar.h"
 #include "entry/entry.h"
 #include "entry/peer_stats.h"
 #include "entry/request_internal.h"
@@ -157,6 +158,7 @@
 	case RESULT_LOAD_FAILED:
 	case RESULT_BACKEND_UNREACHABLE:
 	case RESULT_BACKEND_FAILED:
+	case RESULT_BACKEND_ENDED:
 	case RESULT_QUEUE_FULL:
 	case RESULT_DEADLINE_UNREACHABLE:
 	case RESULT_MEMORY_FULL:
@@ -179,6 +181,7 @@
 	case RESULT_NO_REPLICA:
 	case RESULT_BACKEND_UNREACHABLE:
 	case RESULT_BACKEND_FAILED:
+	case RESULT_BACKEND_ENDED:
 		return true;
 	default:
 		return false;
@@ -318,6 +321,8 @@
 	strlcpy(r->vm, peer->vm.id, sizeof(r->vm));
 	strlcpy(r->tried_vms[r->tried_count++ % TRIED_VMS_MAX], peer->vm.id,
 	    sizeof(r->tried_vms[0]));
+	if (!crash_bar_is_idle(r->table->crash_bar))
+		crash_bar_sent(r->table->crash_bar, request_job(r));
 	r->attempts++;
 	r->incarnation = peer->incarnation;
 	r->state = REQUEST_DISPATCHED;
@@ -360,6 +365,35 @@
 	return true;
 }
 
+/* While its trial is being recorded. */
+#define TRIAL_POLL_US (50 * USEC_PER_MSEC)
+
+/*
+ * Whether the request may be sent as far as is known of what crashes backend
+ * servers.  Otherwise it is refused, or routed again soon.
+ */
+static bool
+passes_crash_bar(struct request *r)
+{
+	struct crash_bar *bar = r->table->crash_bar;
+	int64_t wait_us;
+
+	if (crash_bar_is_idle(bar))
+		return true;
+	switch (crash_bar_check(bar, request_job(r), &wait_us)) {
+	case CRASH_ADMIT:
+		return true;
+	case CRASH_TRIAL:
+		request_arm_timer(r->step_timer, TRIAL_POLL_US);
+		return false;
+	case CRASH_REFUSE:
+		break;
+	}
+	r->retry_after_ms = wait_us / USEC_PER_MSEC;
+	request_refuse(r, RESULT_PROMPT_BARRED);
+	return false;
+}
+
 void
 request_route(struct request *r)
 {
@@ -375,6 +409,8 @@
 		request_refuse(r, r->last_refusal);
 		return;
 	}
+	if (!passes_crash_bar(r))
+		return;
 	peer = choose_peer(r, &any_candidate);
 	if (peer == NULL) {
 		wait_for_slot(r, any_candidate);
--- a/src/entry/request_internal.h
+++ b/src/entry/request_internal.h
@@ -16,6 +16,7 @@
 
 #define TRIED_VMS_MAX 8 /* the highest value of max_attempts */
 
+struct crash_bar;
 struct demand;
 struct event;
 struct histogram;
@@ -48,6 +49,7 @@
 	bool withdrawn; /* the deadline has passed */
 	bool resume_refused; /* by the current agent */
 	struct tm_dispatch_args args; /* owns its strings */
+	uint64_t job; /* see crash_bar_job(); 0: not computed yet */
 	int64_t started_us;
 	int64_t deadline_us;
 	int64_t slot_wait_since_us; /* no usable agent since then; 0: no wait */
@@ -85,6 +87,7 @@
 struct request_table {
 	struct entry *entry;
 	struct request *requests;
+	struct crash_bar *crash_bar;
 	struct retry_budget *budget;
 	struct prefix_map *prefixes;
 	struct service_index *services;
@@ -110,6 +113,8 @@
 struct peer *request_peer(const struct request *);
 /* Records the time of a message from the agent about the request. */
 void request_message_received(struct request *);
+/* The hash of the request's content, as of crash_bar_job(). */
+uint64_t request_job(struct request *);
 /* Creates the callback context of an RPC call for the request. */
 struct request_call *request_call_begin(struct request *);
 /*
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -17,12 +17,6 @@
 #include "protocol/tm_xdr.h"
 
 #define MAX_PARTS 8192
-/* Replicas end for other reasons too: an answer this recent outweighs that. */
-#define IMMUNITY_US (20 * USEC_PER_SEC)
-#define TRIAL_FIRST_US (5 * USEC_PER_SEC)
-#define TRIAL_FACTOR 10
-#define TRIAL_MAX_US (1800 * USEC_PER_SEC)
-#define KEEP_US (3600 * USEC_PER_SEC) /* longer than between two trials */
 /* Gateways forget at different times: the first one does it for all. */
 #define KEEP_SPREAD_US (600 * USEC_PER_SEC)
 #define FORGET_PAUSE_US (10 * USEC_PER_SEC)
@@ -466,13 +460,7 @@
 struct crash_guard *
 crash_guard_create(struct gateway *g)
 {
-	const struct crash_parts_options parts = {
-		.max_parts = MAX_PARTS,
-		.immunity_us = IMMUNITY_US,
-		.trial_us = TRIAL_FIRST_US,
-		.trial_factor = TRIAL_FACTOR,
-		.trial_max_us = TRIAL_MAX_US,
-	};
+	struct crash_parts_options parts = crash_parts_defaults;
 	struct crash_guard *cg = calloc(1, sizeof(*cg));
 	struct crash_records_options records = {
 		.process = &g->process,
@@ -487,8 +475,10 @@
 
 	if (cg == NULL)
 		return NULL;
+	parts.max_parts = MAX_PARTS;
 	cg->gateway = g;
-	cg->keep_us = KEEP_US + (int64_t)rng_below(&g->rng, KEEP_SPREAD_US);
+	cg->keep_us =
+	    CRASH_PARTS_KEEP_US + (int64_t)rng_below(&g->rng, KEEP_SPREAD_US);
 	cg->parts = crash_parts_create(&parts);
 	cg->records = cg->parts == NULL ? NULL : crash_records_create(&records);
 	if (cg->records != NULL)
--- a/src/protocol/result.h
+++ b/src/protocol/result.h
@@ -84,8 +84,8 @@
 	    "this entry has too many connections",                             \
 	    "use another entry, or raise the limit in the settings")           \
 	X(PROMPT_BARRED, 215, 503, NOT_RUN,                                    \
-	    "a part of the prompt crashes backend servers",                    \
-	    "the gateways' lines 'prompt part barred' name the part")          \
+	    "the request, or a part of its prompt, crashes backend servers",   \
+	    "the lines 'prompt part barred' and 'job barred' name it")         \
 	X(OUTCOME_UNKNOWN, 300, 502, UNKNOWN,                                  \
 	    "the answer was lost and cannot be settled",                       \
 	    "ask the service itself whether the work was done")                \
@@ -103,6 +103,9 @@
 	X(ANSWER_TOO_LARGE, 305, 502, UNKNOWN,                                 \
 	    "the answer is larger than the limit",                             \
 	    "stream it, or raise [http] caller_backlog")                       \
+	X(BACKEND_ENDED, 306, 502, UNKNOWN,                                    \
+	    "the connection to the backend server was lost during the work",   \
+	    "read the backend server's log")                                   \
 	X(VERSION_CONFLICT, 400, 409, NOT_RUN,                                 \
 	    "another change was accepted first",                               \
 	    "get the declaration again, and apply the change to it")           \
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -176,6 +176,23 @@
 	tm_slot slots<TM_LIST_MAX>;
 };
 
+/* ---- log records: crashes ---- */
+
+enum tm_crash_type {
+	TM_CRASH_LOST = 1,		/* a job was lost with its backend server */
+	TM_CRASH_TRIED = 2,		/* an entry tries a barred job */
+	TM_CRASH_ANSWERED = 3		/* a job that was lost is sound */
+};
+
+struct tm_crash_record {
+	tm_crash_type type;
+	unsigned hyper job;		/* hash of its content */
+	/* LOST: the backend server's incarnation.  TRIED: the entry's. */
+	unsigned hyper incarnation;
+	bool begun;			/* LOST: the answer had begun */
+	unsigned int trials;		/* TRIED: so far, this one counted */
+};
+
 /* ---- log records: claims.N ---- */
 
 enum tm_claim_type {
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -366,6 +366,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_tm_crash_type (XDR *xdrs, tm_crash_type *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_crash_record (XDR *xdrs, tm_crash_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_tm_crash_type (xdrs, &objp->type))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->trials))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_tm_claim_type (XDR *xdrs, tm_claim_type *objp)
 {
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -211,6 +211,22 @@
 };
 typedef struct tm_control_snapshot tm_control_snapshot;
 
+enum tm_crash_type {
+	TM_CRASH_LOST = 1,
+	TM_CRASH_TRIED = 2,
+	TM_CRASH_ANSWERED = 3,
+};
+typedef enum tm_crash_type tm_crash_type;
+
+struct tm_crash_record {
+	tm_crash_type type;
+	u_quad_t job;
+	u_quad_t incarnation;
+	bool_t begun;
+	u_int trials;
+};
+typedef struct tm_crash_record tm_crash_record;
+
 enum tm_claim_type {
 	TM_CLAIM_TAKE = 1,
 	TM_CLAIM_DONE = 2,
@@ -951,6 +967,8 @@
 extern  bool_t xdr_tm_lease (XDR *, tm_lease*);
 extern  bool_t xdr_tm_model_entry (XDR *, tm_model_entry*);
 extern  bool_t xdr_tm_control_snapshot (XDR *, tm_control_snapshot*);
+extern  bool_t xdr_tm_crash_type (XDR *, tm_crash_type*);
+extern  bool_t xdr_tm_crash_record (XDR *, tm_crash_record*);
 extern  bool_t xdr_tm_claim_type (XDR *, tm_claim_type*);
 extern  bool_t xdr_tm_claim_record (XDR *, tm_claim_record*);
 extern  bool_t xdr_tm_claim_batch (XDR *, tm_claim_batch*);
@@ -1034,6 +1052,8 @@
 extern bool_t xdr_tm_lease ();
 extern bool_t xdr_tm_model_entry ();
 extern bool_t xdr_tm_control_snapshot ();
+extern bool_t xdr_tm_crash_type ();
+extern bool_t xdr_tm_crash_record ();
 extern bool_t xdr_tm_claim_type ();
 extern bool_t xdr_tm_claim_record ();
 extern bool_t xdr_tm_claim_batch ();
--- a/src/transport/engine.h
+++ b/src/transport/engine.h
@@ -104,6 +104,7 @@
 struct engine_end {
 	enum engine_status status;
 	const char *text; /* error message; NULL if ENGINE_OK */
+	bool conn_lost; /* ENGINE_LOST: the engine may have ended */
 	/* The others are only set if ENGINE_OK. */
 	unsigned tokens; /* generated in total */
 	unsigned prompt_tokens;
--- a/src/transport/engine_http.c
+++ b/src/transport/engine_http.c
@@ -344,6 +344,7 @@
 
 	if (!st->ended) {
 		st->end.status = stream_status(resp);
+		st->end.conn_lost = http_response_conn_lost(resp);
 		snprintf(st->text, sizeof(st->text),
 		    "engine stream failed, HTTP status %d (0: none)",
 		    resp->code);
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -186,6 +186,12 @@
 
 /* ---- the client ---- */
 
+bool
+http_response_conn_lost(const struct http_response *resp)
+{
+	return resp->status == HTTP_CALL_FAILED && !resp->over_limit;
+}
+
 struct http_client *
 http_client_create(const struct http_client_options *opts)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -72,6 +72,12 @@
 	bool over_limit;
 };
 
+/*
+ * Whether the connection was lost during the call, other than by a limit of
+ * this client: the server may have ended.
+ */
+bool http_response_conn_lost(const struct http_response *);
+
 enum http_response_verdict {
 	HTTP_RESPONSE_ACCEPT,
 	HTTP_RESPONSE_DISCARD, /* belongs to another call: wait for the next */
--- a/src/transport/service.h
+++ b/src/transport/service.h
@@ -6,6 +6,7 @@
 #ifndef TRANSPORT_SERVICE_H
 #define TRANSPORT_SERVICE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -31,6 +32,7 @@
 /* Result of a call; valid during the callback. */
 struct service_answer {
 	enum service_status status;
+	bool conn_lost; /* SERVICE_LOST: the service may have ended */
 	/* The others are only set if SERVICE_OK. */
 	int code; /* HTTP status */
 	const char *content_type; /* NULL: none */
--- a/src/transport/service_http.c
+++ b/src/transport/service_http.c
@@ -42,7 +42,8 @@
 on_answer(void *arg, const struct http_response *resp)
 {
 	struct service_op *op = arg;
-	struct service_answer answer = { .status = SERVICE_LOST };
+	struct service_answer answer = { .status = SERVICE_LOST,
+		.conn_lost = http_response_conn_lost(resp) };
 
 	if (resp->status == HTTP_CALL_NOT_SENT)
 		answer.status = SERVICE_NOT_SENT;
--- a/test/process/test_soak.c
+++ b/test/process/test_soak.c
@@ -2,8 +2,8 @@
  * A deployment under load and random, overlapping faults.  Guards against loads
  * beyond a model's replicas or an engine's memory, calls that run twice or
  * against their reported outcome, late answers, accepted declarations that get
- * lost, and daemons that don't recover.  Checked in the journals of the engines
- * and services.
+ * lost, jobs that crash engine after engine, and daemons that don't recover.
+ * Checked in the journals of the engines and services.
  *
  * SOAK_SEED fixes the schedule of faults, SOAK_SECONDS the length; make soak
  * sets both.  A failing seed replays the same schedule.
@@ -70,6 +70,7 @@
 };
 
 struct soak {
+	guint32 seed;
 	struct cluster *cluster;
 	struct planned_fault *plan;
 	size_t plan_count;
@@ -377,6 +378,105 @@
 	return NULL;
 }
 
+/* ---- jobs that crash engines ---- */
+
+#define DEADLY_REPEATS 10
+#define DEADLY_GAP_MIN_MS 20
+#define DEADLY_GAP_MAX_MS 300
+/*
+ * Three ends and three more attempts, by each entry: while the log is away,
+ * entries know their own losses only.
+ */
+#define DEADLY_CRASHES_MAX ((3 + 3) * ENTRIES)
+
+/* The number of the engine's crashes; -1 if it does not answer. */
+static int64_t
+read_crashes(const struct member *engine)
+{
+	struct response resp;
+	int64_t crashes = -1;
+
+	http_call(&resp, "GET", engine->backend, "/journal", NULL, NULL);
+	if (resp.code == 200)
+		crashes = response_int(&resp, "crashes");
+	response_clear(&resp);
+	return crashes;
+}
+
+/* Sends the fault to engines that run, and notes their crashes so far. */
+static void
+set_deadly_prompt(struct soak *s, const char *prompt, int64_t *crashes)
+{
+	char *fault = g_strdup_printf(
+	    "{\"crash_prompt\": \"%s\", \"crash_ms\": 200}", prompt);
+
+	for (int i = 0; i < ENGINES; i++) {
+		const struct member *engine = &s->cluster->engines[i];
+		struct response resp;
+
+		crashes[i] = read_crashes(engine);
+		http_call(
+		    &resp, "POST", engine->backend, "/faults", NULL, fault);
+		response_clear(&resp);
+	}
+	g_free(fault);
+}
+
+/* Not of engines that were replaced meanwhile. */
+static int64_t
+count_new_crashes(struct soak *s, const int64_t *before)
+{
+	int64_t sum = 0;
+
+	for (int i = 0; i < ENGINES; i++) {
+		int64_t now = read_crashes(&s->cluster->engines[i]);
+
+		if (before[i] != -1 && now > before[i])
+			sum += now - before[i];
+	}
+	return sum;
+}
+
+static void *
+repeat_deadly_jobs(void *arg)
+{
+	static const char *const headers[] = { "Rank: standard",
+		"Deadline-Ms: 2000", "Content-Type: application/json", NULL };
+	struct soak *s = arg;
+	GRand *rand = g_rand_new_with_seed(s->seed + 1);
+
+	for (int cycle = 0; !g_atomic_int_get(&s->stop); cycle++) {
+		char *prompt = g_strdup_printf("deadly-%d.", cycle);
+		char *body = g_strdup_printf("{\"model\":\"alpha\","
+					     "\"prompt\":\"%s\","
+					     "\"max_tokens\":4}",
+		    prompt);
+		int64_t before[ENGINES], crashes;
+
+		set_deadly_prompt(s, prompt, before);
+		for (int i = 0;
+		     i < DEADLY_REPEATS && !g_atomic_int_get(&s->stop); i++) {
+			int entry = g_rand_int_range(rand, 0, ENTRIES);
+			struct response resp;
+
+			http_call(&resp, "POST",
+			    s->cluster->entries[entry].http, "/v1/completions",
+			    headers, body);
+			response_clear(&resp);
+			sleep_ms(g_rand_int_range(
+			    rand, DEADLY_GAP_MIN_MS, DEADLY_GAP_MAX_MS));
+		}
+		crashes = count_new_crashes(s, before);
+		if (crashes > DEADLY_CRASHES_MAX)
+			g_error("seed %u: a job crashed engines %d times",
+			    s->seed, (int)crashes);
+		g_free(prompt);
+		g_free(body);
+	}
+	g_rand_free(rand);
+	return NULL;
+}
+
 /* ---- the load ---- */
 
 static void
@@ -526,8 +626,8 @@
 		.services = SERVICES,
 		.proxied = true,
 	};
-	struct soak s = { .accepted = g_string_new(NULL) };
-	GThread *operators;
+	struct soak s = { .seed = seed, .accepted = g_string_new(NULL) };
+	GThread *operators, *deadly;
 	int64_t start_ms, last_sample_ms = 0;
 
 	plan_faults(&s, seed, seconds * 1000);
@@ -538,6 +638,7 @@
 	s.cluster = cluster_start(&opts);
 	start_load(&s, seed, seconds);
 	operators = g_thread_new("operators", declare_adapters, &s);
+	deadly = g_thread_new("deadly", repeat_deadly_jobs, &s);
 	start_ms = now_ms();
 	while (now_ms() - start_ms < seconds * 1000) {
 		int64_t elapsed_ms = now_ms() - start_ms;
@@ -552,6 +653,7 @@
 	}
 	g_atomic_int_set(&s.stop, 1);
 	g_thread_join(operators);
+	g_thread_join(deadly);
 	check_results(&s);
 	proc_clear(&s.load);
 	cluster_stop(s.cluster);
