coordination, gateway, sidecar: what the connections carry, in their headers

The header comments of gateway_conns and sidecar_conns name limits, hints and what is passed on between gateways; a comment of crash_parts.c stands on one line. No code changes.

--- a/src/coordination/crash_parts.c
+++ b/src/coordination/crash_parts.c
@@ -15,8 +15,7 @@
 #define CRASHES_KEPT 128 /* incarnations, the newest */
 
 const struct crash_parts_options crash_parts_defaults = {
-	/* Replicas end for other reasons too: an answer this recent outweighs
-	 * that. */
+	/* Replicas end for other reasons too: such an answer outweighs that. */
 	.immunity_us = 20 * USEC_PER_SEC,
 	.trial_us = 5 * USEC_PER_SEC,
 	.trial_factor = 10,
--- a/src/gateway/sidecar_conns.h
+++ b/src/gateway/sidecar_conns.h
@@ -5,7 +5,8 @@
  * load.  The gateway sends it the uses of each model, load requests, and
  * requests for prefill permits and for places within a replica's limit.  Every
  * message carries its sender's deployment version; the side that is behind
- * requests the deployment on the same connection.
+ * requests the deployment on the same connection.  Gateways are not connected
+ * to each other for what they tell all others: a sidecar passes it on.
  */
 #ifndef GATEWAY_SIDECAR_CONNS_H
 #define GATEWAY_SIDECAR_CONNS_H
--- a/src/sidecar/gateway_conns.h
+++ b/src/sidecar/gateway_conns.h
@@ -2,8 +2,11 @@
  * gateway_conns -- the RPC connections of gateways to this sidecar.
  *
  * Gateways send the uses of each model, load requests, and requests for prefill
- * permits, which a struct prefill_gate decides on.  The sidecar sends them
- * reports of the replica's holdings (loaded models and local copies) and load.
+ * permits, which a struct prefill_gate decides on, and for places within the
+ * limits of replicas (struct limit_meter).  The sidecar sends them reports of
+ * the replica's holdings (loaded models and local copies) and load, hints those
+ * that have read less of the store than others, and passes on what one of them
+ * tells all: lost requests, and replicas that leave.
  */
 #ifndef SIDECAR_GATEWAY_CONNS_H
 #define SIDECAR_GATEWAY_CONNS_H
