coordination, gateway, platform: a replica that asks for a pause gets one

Cause: nothing read the header of a refusal; the replica counted as one that fails now and then, and if all of a service asked for a pause, each request reached each of them.

The wait counts as time to the first event at the selection: another replica is preferred, a request waits for one that returns in time and is refused at once otherwise, with the time. It is checked once more where a request is put on the wire, for what has waited meanwhile. Dates and what is no number of seconds are no pause.

Ruled out: telling other gateways, as the replica asks each of them by itself and the bound is of each.

--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -64,7 +64,7 @@
 	int64_t us =
 	    r->load_us + (int64_t)(work * q->prefill_factor * r->slowdown);
 
-	us += r->wait_us;
+	us += r->wait_us > r->quiet_us ? r->wait_us : r->quiet_us;
 	us += (int64_t)(r->prefill_share * PREFILL_WAIT_US);
 	us += (int64_t)(r->failure_share * FAILURE_US);
 	if (r->slots > 0 && r->running >= r->slots)
--- a/src/coordination/selection.h
+++ b/src/coordination/selection.h
@@ -28,6 +28,7 @@
 	bool ejected; /* see outlier.h; chosen only if no other is usable */
 	bool same_zone; /* as the gateway */
 	bool limited; /* it has named how many requests it takes */
+	int64_t quiet_us; /* it wants no requests for so long */
 	int64_t wait_us; /* until it takes another one, by its limit */
 	unsigned slots; /* requests that run at once; 0: unknown */
 	unsigned running; /* by its last report, and sent since */
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -17,6 +17,7 @@
 #include <bsd/sys/queue.h>
 
 #include "coordination/outlier.h"
+#include "coordination/quiet.h"
 #include "coordination/rate_limit.h"
 #include "protocol/fleet.h"
 
@@ -67,6 +68,7 @@
 	/* Measured over predicted time to the first token; moving average. */
 	double slowdown;
 	struct backend_limit limit;
+	struct quiet quiet;
 	/* From the sidecar's TM_REPLICA_HOLDS: */
 	bool holdings_known; /* entry.state's models and copies are from it */
 	/* The loaded models may differ from entry.state until then. */
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -92,6 +92,7 @@
 	r->failure_share = b->outlier.failure_share;
 	r->limited = b->limit.per_s > 0;
 	r->wait_us = limits_wait_us(g, b, now);
+	r->quiet_us = quiet_wait_us(&b->quiet, now);
 	r->kv_free = b->holdings_known && b->entry.state.kv_total > 0
 			 ? b->entry.state.kv_total - b->kv_used
 			 : -1;
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -233,6 +233,7 @@
 	struct select_choice selected;
 	uint32_t new_tokens; /* of the prompt, not cached there */
 	int64_t limit_wait_us; /* as of struct candidates */
+	int64_t quiet_us; /* the replica wants no requests for so long */
 };
 
 static struct choice
@@ -251,6 +252,7 @@
 	if (choice.selected.index == -1)
 		return choice;
 	choice.backend = c->backends[choice.selected.index];
+	choice.quiet_us = c->replicas[choice.selected.index].quiet_us;
 	choice.new_tokens = c->replicas[choice.selected.index].cached_tokens;
 	choice.new_tokens =
 	    prompt > choice.new_tokens ? prompt - choice.new_tokens : 0;
@@ -354,6 +356,18 @@
 	return false;
 }
 
+/* Selected again, as another replica may take it before the pause ends. */
+static void
+wait_for_quiet(struct exchange *x, const struct backend *b, int64_t quiet_us)
+{
+	if (!x->waiting)
+		log_info(x->gateway->process.logger,
+		    "request waits for a pause", LF_S("request", x->params.id),
+		    LF_S("replica", b->entry.id), LF_I("wait_us", quiet_us),
+		    LF_I("left_us", exchange_left_us(x)));
+	x->waiting = true;
+}
+
 void
 exchange_dispatch(struct exchange *x)
 {
@@ -402,6 +416,10 @@
 		request_load(x, choice.backend);
 		return;
 	}
+	if (choice.quiet_us > 0) {
+		wait_for_quiet(x, choice.backend, choice.quiet_us);
+		return;
+	}
 	x->waiting = false;
 	exchange_send(
 	    x, choice.backend, choice.selected.first_us, choice.new_tokens);
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -23,6 +23,8 @@
 #include "state/deployment.h"
 
 #define HTTP_MISDIRECTED 421 /* RFC 9110, section 15.5.20 */
+/* Gateways return to a replica at different times after its pause. */
+#define QUIET_SPREAD_US (200 * USEC_PER_MSEC)
 #define AVG_ANSWER_WEIGHT 0.1 /* of the newest answer in avg_answer_us */
 
 /* ---- retries ---- */
@@ -142,6 +144,22 @@
 	sidecar_conns_send_leaves(x->gateway->sidecar_conns, b);
 }
 
+static void
+note_quiet(struct exchange *x, int code, const struct answer_meta *meta)
+{
+	struct gateway *g = x->gateway;
+	struct backend *b = x->backend;
+
+	if (meta->quiet_us == 0 || !backend_made_answer(b, code, meta))
+		return;
+	log_info(g->process.logger, "replica wants a pause",
+	    LF_S("request", x->params.id), LF_S("replica", b->entry.id),
+	    LF_I("for_us", meta->quiet_us));
+	quiet_begin(&b->quiet, meta->quiet_us,
+	    (int64_t)rng_below(&g->rng, QUIET_SPREAD_US),
+	    clock_now(g->process.clock));
+}
+
 enum http_response_verdict
 exchange_on_headers(void *ctx, int code, struct evkeyvalq *headers)
 {
@@ -160,6 +178,7 @@
 	}
 	limits_on_answer(x->gateway, x->backend, code, &meta);
 	note_leaving(x, code, &meta);
+	note_quiet(x, code, &meta);
 	x->code = code;
 	x->meta = meta;
 	x->relaying = x->route->kind == ROUTE_STREAM && code >= 200 &&
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -124,12 +124,18 @@
 		.ctx = x,
 	};
 
+	if (quiet_wait_us(&b->quiet, clock_now(g->process.clock)) > 0) {
+		exchange_release(x);
+		exchange_dispatch(x);
+		return;
+	}
 	if (!exchange_passes_limit(x))
 		return;
 	/* The prompt may have been found to crash replicas meanwhile. */
 	if (!exchange_passes_guard(x))
 		return;
 	crash_guard_sent(g->crash_guard, &x->params);
+	quiet_send(&b->quiet, clock_now(g->process.clock));
 	g->driver->encode_forward(&params, &own);
 	fill_headers(x, &own, headers);
 	x->attempts++;
--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -159,6 +159,8 @@
 	bool sealed; /* made by a replica itself */
 	bool not_run; /* the replica did not run the request and never will */
 	bool leaving; /* the replica takes no more requests and will end */
+	/* Of a refusal: the replica wants no requests for so long; 0: none. */
+	int64_t quiet_us;
 	bool has_load; /* the next three are set */
 	unsigned running; /* requests */
 	unsigned waiting; /* requests */
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -16,6 +16,7 @@
 
 #include <jansson.h>
 
+#include "common/clock.h"
 #include "platform/platform.h"
 #include "state/deployment.h"
 
@@ -275,6 +276,44 @@
 	evhttp_clear_headers(&headers);
 }
 
+static void
+test_pause_is_told(void)
+{
+	static const struct {
+		const char *text;
+		int code;
+		int64_t us;
+	} cases[] = {
+		{ "2", 503, 2 * USEC_PER_SEC },
+		{ "0.25", 503, 250 * USEC_PER_MSEC },
+		{ "3600 ", 503, 3600 * USEC_PER_SEC },
+		{ "1e30", 503, 86400 * USEC_PER_SEC },
+		{ "2", 429, 0 },
+		{ "0", 503, 0 },
+		{ "-1", 503, 0 },
+		{ "nan", 503, 0 },
+		{ "1s", 503, 0 },
+		{ "", 503, 0 },
+		{ "Fri, 04 Dec 2026 17:00:00 GMT", 503, 0 },
+	};
+	struct evkeyvalq headers;
+	struct answer_meta meta;
+
+	TAILQ_INIT(&headers);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		add_header(&headers, "Tamarackmast-Not-Executed", "1");
+		add_header(&headers, "Retry-After", cases[i].text);
+		platform_decode_answer(&headers, cases[i].code, &meta);
+		g_assert_cmpint(meta.quiet_us, ==, cases[i].us);
+		evhttp_clear_headers(&headers);
+	}
+	/* An answer of a request that ran. */
+	add_header(&headers, "Retry-After", "2");
+	platform_decode_answer(&headers, 503, &meta);
+	g_assert_cmpint(meta.quiet_us, ==, 0);
+	evhttp_clear_headers(&headers);
+}
+
 static void
 test_leaving_is_told(void)
 {
@@ -394,6 +433,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/leaving", test_leaving_is_told);
+	g_test_add_func("/platform/pause", test_pause_is_told);
 	g_test_add_func("/platform/deployment", test_deployment);
 	g_test_add_func("/platform/bad_deployments", test_bad_deployments);
 	g_test_add_func("/platform/replicas", test_replicas);
