--- a/src/coordination/crash_log.c
+++ b/src/coordination/crash_log.c
@@ -11,8 +11,6 @@
 #include "transport/platform_log.h"
 
 #define STREAM "crashes"
-/* Long: records are rare, and every read is a call to the log service. */
-#define POLL_US (25 * USEC_PER_SEC)
 
 struct crash_log {
 	struct crash_log_options opts;
@@ -91,7 +89,7 @@
 		.logger = d->logger,
 		.log = d->log,
 		.stream = STREAM,
-		.poll_us = POLL_US,
+		.poll_us = d->settings->log_poll_ms * USEC_PER_MSEC,
 		.retry_us = d->settings->log_retry_ms * USEC_PER_MSEC,
 		.position = get_position,
 		.batch = on_batch,
