entry: what waits for a trial that cannot be recorded is refused

While the log is away, a barred job whose trial was due waited for its record until its deadline, as each expired record was followed by a new one. The header says what destroying the bar requires.

--- a/src/entry/crash_bar.c
+++ b/src/entry/crash_bar.c
@@ -290,13 +290,16 @@
 		return CRASH_ADMIT;
 	if (c.verdict == CRASH_REFUSE)
 		return CRASH_REFUSE;
-	if (bar->trial == TRIAL_APPENDED &&
-	    now_us(bar) - bar->trial_us < TRIAL_RECORD_US) {
-		*wait_us = TRIAL_RETRY_US;
-		return bar->trial_job == job ? CRASH_TRIAL : CRASH_REFUSE;
+	if (bar->trial != TRIAL_APPENDED) {
+		begin_trial(bar, job);
+		return CRASH_TRIAL;
 	}
-	begin_trial(bar, job);
-	return CRASH_TRIAL;
+	*wait_us = TRIAL_RETRY_US;
+	if (now_us(bar) - bar->trial_us >= TRIAL_RECORD_US) {
+		bar->trial = TRIAL_NONE; /* the log is away */
+		return CRASH_REFUSE;
+	}
+	return bar->trial_job == job ? CRASH_TRIAL : CRASH_REFUSE;
 }
 
 void
--- a/src/entry/crash_bar.h
+++ b/src/entry/crash_bar.h
@@ -21,7 +21,10 @@
 
 /* Returns NULL if out of memory. */
 struct crash_bar *crash_bar_create(struct daemon *);
-/* Call it once the log client makes no more callbacks. */
+/*
+ * Destroy the log client too before the event loop runs again, as a pending
+ * append or read refers to this.
+ */
 void crash_bar_destroy(struct crash_bar *);
 
 /* The hash of a job's content, never 0. */
--- a/test/unit/test_crash_bar.c
+++ b/test/unit/test_crash_bar.c
@@ -168,7 +168,9 @@
 		clock_advance(f.clock, USEC_PER_SEC);
 	}
 	f.log.down = false;
-	clock_advance(f.clock, 3 * USEC_PER_SEC); /* the last record is lost */
+	clock_advance(f.clock, 3 * USEC_PER_SEC);
+	/* The last record is lost; what waited for it is refused. */
+	g_assert_cmpint(check(&f, 0), ==, CRASH_REFUSE);
 	g_assert_cmpint(check(&f, 0), ==, CRASH_TRIAL);
 	run_loop(&f, LOOP_MS);
 	g_assert_cmpint(check(&f, 0), ==, CRASH_ADMIT);
