entry, agent: what is lost beside a deadly job is not sent after it again

What callers would see in the product's own interface: in a flood, sound jobs barred for a minute, and a deadly job that goes on ending engines.

Cause: an entry sent a job that was lost with its engine again up to four times, at the next engine each time, where the deadly one had been sent again too. Sound jobs were lost with four ends and barred, and once they held all 16 places of the bar there was none for the deadly one. Entries also named one end of an engine by their own clocks, so that losses beside each other did not always match.

The change: a job is not sent again after the second backend server that ended under it; the agent tells the number of the end before the result (RPC procedure 34, one-way, ignored by entries that do not know it).

--- a/src/agent/agent_internal.h
+++ b/src/agent/agent_internal.h
@@ -85,6 +85,8 @@
 	uint64_t report_sequence; /* of the last load report */
 	uint64_t reported_digest; /* see agent_report_changes() */
 	int64_t leaving_since_us; /* 0: not leaving */
+	uint64_t backend_ends; /* of the backend server, as far as was seen */
+	int64_t backend_end_us; /* when a job was last lost with it */
 	int64_t started_us;
 	bool was_isolated; /* at the last check */
 	/* Metrics. */
--- a/src/agent/answer.c
+++ b/src/agent/answer.c
@@ -25,6 +25,16 @@
 		job->conn = NULL; /* the entry resumes the answer */
 }
 
+static void
+send_backend_end(const struct job *job)
+{
+	struct tm_backend_end end = { .number = job->backend_end };
+
+	memcpy(end.request, job->id, TM_ID_SIZE);
+	(void)rpc_conn_send(
+	    job->conn, TM_BACKEND_END, (xdrproc_t)xdr_tm_backend_end, &end);
+}
+
 void
 agent_send_finish(struct agent *a, struct job *job)
 {
@@ -41,6 +51,8 @@
 
 	if (job->conn == NULL)
 		return;
+	if (job->code == RESULT_BACKEND_ENDED)
+		send_backend_end(job);
 	memcpy(finish.request, job->id, TM_ID_SIZE);
 	agent_fill_load_summary(a, &finish.load);
 	if (rpc_conn_send(
--- a/src/agent/execute.c
+++ b/src/agent/execute.c
@@ -13,10 +13,21 @@
 #include "common/trace.h"
 #include "coordination/loader.h"
 
+/* Jobs that are lost with one end of the backend server are told at once. */
+#define SAME_END_US (50 * USEC_PER_MSEC)
+
 static enum result
-lost_result(bool conn_lost)
+lost_result(struct agent *a, struct job *job, bool conn_lost)
 {
-	return conn_lost ? RESULT_BACKEND_ENDED : RESULT_BACKEND_FAILED;
+	int64_t now = clock_now(a->daemon->clock);
+
+	if (!conn_lost)
+		return RESULT_BACKEND_FAILED;
+	if (a->backend_ends == 0 || now - a->backend_end_us > SAME_END_US)
+		a->backend_ends++;
+	a->backend_end_us = now;
+	job->backend_end = a->backend_ends;
+	return RESULT_BACKEND_ENDED;
 }
 
 /* ---- the engine ---- */
@@ -54,8 +65,8 @@
 		agent_end_job(a, job, JOB_NOT_RUN, RESULT_BACKEND_UNREACHABLE,
 		    OUTCOME_NOT_RUN);
 	} else {
-		agent_end_job(a, job, JOB_DONE, lost_result(end->conn_lost),
-		    OUTCOME_UNKNOWN);
+		agent_end_job(a, job, JOB_DONE,
+		    lost_result(a, job, end->conn_lost), OUTCOME_UNKNOWN);
 	}
 	a->schedule(a);
 }
@@ -167,8 +178,8 @@
 		    OUTCOME_NOT_RUN);
 		break;
 	case SERVICE_LOST:
-		agent_end_job(a, job, JOB_DONE, lost_result(answer->conn_lost),
-		    OUTCOME_UNKNOWN);
+		agent_end_job(a, job, JOB_DONE,
+		    lost_result(a, job, answer->conn_lost), OUTCOME_UNKNOWN);
 		break;
 	}
 	a->schedule(a);
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -70,6 +70,7 @@
 	char content_type[TM_NAME_MAX + 1]; /* models: finish reason */
 	uint32_t prompt_tokens;
 	uint32_t retry_after_ms; /* 0: none */
+	uint64_t backend_end; /* which one; set with RESULT_BACKEND_ENDED */
 	int64_t created_us;
 	int64_t ended_us;
 	UT_hash_handle hh;
--- a/src/entry/crash_bar.c
+++ b/src/entry/crash_bar.c
@@ -24,11 +24,6 @@
 #define TRIAL_RETRY_US (500 * USEC_PER_MSEC)
 /* Several entries may know that a job is sound: the first one tells. */
 #define ANSWERED_SPREAD_US (300 * USEC_PER_MSEC)
-/*
- * Losses on one VM in the same interval are of one end of its backend server,
- * which no restart is faster than.
- */
-#define SAME_END_US (100 * USEC_PER_MSEC)
 #define JOB_TEXT_SIZE 17 /* bytes, with the NUL */
 
 enum trial_state {
@@ -196,19 +191,19 @@
 
 /* ---- losses and answers of this entry ---- */
 
-/* Entries with a job each on the same backend server see one end of it. */
 static uint64_t
-incarnation_of(const struct crash_bar *bar, const char *vm)
+incarnation_of(const struct crash_bar_end *end)
 {
-	return XXH3_64bits_withSeed(vm, strlen(vm),
-	    (uint64_t)(clock_wall(bar->daemon->clock) / SAME_END_US));
+	return XXH3_64bits_withSeed(
+	    end->vm, strlen(end->vm), end->agent + end->number);
 }
 
 void
-crash_bar_lost(struct crash_bar *bar, uint64_t job, const char *vm, bool begun)
+crash_bar_lost(struct crash_bar *bar, uint64_t job,
+    const struct crash_bar_end *end, bool begun)
 {
 	const struct crash_loss loss = { .part = job,
-		.incarnation = incarnation_of(bar, vm),
+		.incarnation = incarnation_of(end),
 		.request = job,
 		.position = CRASH_PARTS_WHOLE,
 		.begun = begun };
--- a/src/entry/crash_bar.h
+++ b/src/entry/crash_bar.h
@@ -42,9 +42,16 @@
 /* The job is sent, which uses up a trial. */
 void crash_bar_sent(struct crash_bar *, uint64_t job);
 
-/* The job was lost with the backend server on this VM. */
+/* One end of a backend server; jobs that are lost with it name it alike. */
+struct crash_bar_end {
+	const char *vm;
+	uint64_t agent; /* incarnation of the VM's agent */
+	uint64_t number; /* of the end, as the agent counts them */
+};
+
+/* The job was lost with a backend server. */
 void crash_bar_lost(
-    struct crash_bar *, uint64_t job, const char *vm, bool begun);
+    struct crash_bar *, uint64_t job, const struct crash_bar_end *, bool begun);
 void crash_bar_answered(struct crash_bar *, uint64_t job);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -256,6 +256,14 @@
 	requests_on_finish(e->requests, arg);
 }
 
+static void
+handle_backend_end(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct entry *e = ctx;
+
+	requests_on_backend_end(e->requests, arg);
+}
+
 static void
 handle_load(void *ctx, struct rpc_call *call, void *arg)
 {
@@ -312,6 +320,8 @@
 	    NULL },
 	{ TM_CHUNK, CODEC(tm_chunk), NULL, handle_chunk, NULL },
 	{ TM_FINISH, CODEC(tm_finish), NULL, handle_finish, NULL },
+	{ TM_BACKEND_END, CODEC(tm_backend_end), NULL, handle_backend_end,
+	    NULL },
 	{ TM_LOAD, CODEC(tm_load_report), NULL, handle_load, NULL },
 	{ .proc = 0 },
 };
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -24,6 +24,11 @@
 #define BUDGET_TARGETS_MAX 4096 /* models and services with a retry budget */
 /* Factor of the longer limit in check_silence(). */
 #define SILENCE_LIMIT_FACTOR 10
+/*
+ * A request that was lost with so many backend servers is not sent again: what
+ * ends them may be sent again beside it.
+ */
+#define BACKEND_ENDS_MAX 2
 #define PATH_LENGTH_MAX 4096 /* bytes; tm_dispatch_args.path */
 #define PREFIXES_MAX 16384 /* entries of 16 bytes */
 
@@ -307,18 +312,31 @@
 	r->on_chunk(r->ctx, chunk->data.data_val, chunk->data.data_len);
 }
 
+/* The agent's own number of the end makes all entries name it alike. */
+static void
+note_backend_end(struct request *r)
+{
+	struct crash_bar_end end = {
+		.vm = r->vm, .agent = r->incarnation, .number = r->backend_end
+	};
+
+	r->backend_ends++;
+	crash_bar_lost(
+	    r->table->crash_bar, request_job(r), &end, r->next_chunk > 0);
+}
+
 static void
 handle_failure(struct request *r, const struct tm_finish *f)
 {
 	if (f->code == RESULT_BACKEND_ENDED)
-		crash_bar_lost(r->table->crash_bar, request_job(r), r->vm,
-		    r->next_chunk > 0);
+		note_backend_end(r);
 	if (f->outcome == OUTCOME_NOT_RUN) {
 		r->retry_after_ms = f->retry_after_ms;
 		request_attempt_refused(r, (enum result)f->code);
 	} else if (r->withdrawn) {
 		request_fail(r, RESULT_DEADLINE_PASSED, OUTCOME_UNKNOWN);
-	} else if (r->args.repeatable && r->next_chunk == 0) {
+	} else if (r->args.repeatable && r->next_chunk == 0 &&
+		   r->backend_ends < BACKEND_ENDS_MAX) {
 		r->may_have_run = true;
 		request_attempt_refused(r, (enum result)f->code);
 	} else {
@@ -326,6 +344,16 @@
 	}
 }
 
+void
+requests_on_backend_end(
+    struct request_table *t, const struct tm_backend_end *end)
+{
+	struct request *r = find_request(t, end->request);
+
+	if (r != NULL)
+		r->backend_end = end->number;
+}
+
 void
 requests_on_finish(struct request_table *t, const struct tm_finish *f)
 {
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -97,6 +97,8 @@
 
 void requests_on_chunk(struct request_table *, const struct tm_chunk *);
 void requests_on_finish(struct request_table *, const struct tm_finish *);
+void requests_on_backend_end(
+    struct request_table *, const struct tm_backend_end *);
 void requests_peer_up(struct request_table *, struct peer *);
 void requests_peer_down(struct request_table *, struct peer *);
 /* Call before the peer is freed. */
--- a/src/entry/request_internal.h
+++ b/src/entry/request_internal.h
@@ -49,6 +49,8 @@
 	bool withdrawn; /* the deadline has passed */
 	bool resume_refused; /* by the current agent */
 	struct tm_dispatch_args args; /* owns its strings */
+	unsigned backend_ends; /* backend servers that it was lost with */
+	uint64_t backend_end; /* the agent's number of the newest end */
 	uint64_t job; /* see crash_bar_job(); 0: not computed yet */
 	int64_t started_us;
 	int64_t deadline_us;
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -636,6 +636,15 @@
 	bool cleared;			/* only the part is set */
 };
 
+/*
+ * One-way, agent to entry, before a TM_FINISH with BACKEND_ENDED: which end of
+ * the backend server the job was lost with.
+ */
+struct tm_backend_end {
+	tm_id request;
+	unsigned hyper number;		/* of the ends since the agent started */
+};
+
 /*
  * One-way, between gateway and sidecar, which passes it on to the other
  * gateways: a replica has said in an answer that it leaves.
@@ -689,5 +698,6 @@
 		void TM_CRASH(tm_crash) = 31;
 		void TM_REPLICAS_READ(tm_replicas_read) = 32;
 		void TM_REPLICA_LEAVES(tm_replica_leaves) = 33;
+		void TM_BACKEND_END(tm_backend_end) = 34;
 	} = 1;
 } = 0x20746d31;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1475,6 +1475,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_tm_backend_end (XDR *xdrs, tm_backend_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_tm_id (xdrs, objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_tm_replica_leaves (XDR *xdrs, tm_replica_leaves *objp)
 {
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -734,6 +734,12 @@
 };
 typedef struct tm_crash tm_crash;
 
+struct tm_backend_end {
+	tm_id request;
+	u_quad_t number;
+};
+typedef struct tm_backend_end tm_backend_end;
+
 struct tm_replica_leaves {
 	tm_name replica;
 	u_quad_t born_ms;
@@ -848,6 +854,9 @@
 #define TM_REPLICA_LEAVES 33
 extern  void * tm_replica_leaves_1(tm_replica_leaves *, CLIENT *);
 extern  void * tm_replica_leaves_1_svc(tm_replica_leaves *, struct svc_req *);
+#define TM_BACKEND_END 34
+extern  void * tm_backend_end_1(tm_backend_end *, CLIENT *);
+extern  void * tm_backend_end_1_svc(tm_backend_end *, struct svc_req *);
 extern int tm_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -950,6 +959,9 @@
 #define TM_REPLICA_LEAVES 33
 extern  void * tm_replica_leaves_1();
 extern  void * tm_replica_leaves_1_svc();
+#define TM_BACKEND_END 34
+extern  void * tm_backend_end_1();
+extern  void * tm_backend_end_1_svc();
 extern int tm_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -1038,6 +1050,7 @@
 extern  bool_t xdr_tm_limit_take (XDR *, tm_limit_take*);
 extern  bool_t xdr_tm_limit_taken (XDR *, tm_limit_taken*);
 extern  bool_t xdr_tm_crash (XDR *, tm_crash*);
+extern  bool_t xdr_tm_backend_end (XDR *, tm_backend_end*);
 extern  bool_t xdr_tm_replica_leaves (XDR *, tm_replica_leaves*);
 extern  bool_t xdr_tm_replicas_read (XDR *, tm_replicas_read*);
 
@@ -1124,6 +1137,7 @@
 extern bool_t xdr_tm_limit_take ();
 extern bool_t xdr_tm_limit_taken ();
 extern bool_t xdr_tm_crash ();
+extern bool_t xdr_tm_backend_end ();
 extern bool_t xdr_tm_replica_leaves ();
 extern bool_t xdr_tm_replicas_read ();
 
--- a/test/process/test_job_crashes.c
+++ b/test/process/test_job_crashes.c
@@ -100,6 +100,59 @@
 	await_true(model_answers, NULL, "a sound prompt is answered");
 }
 
+#define SOUND_JOBS 90
+#define SOUND_GAP_MS 30
+#define SOUND_TEXT_SIZE 96
+
+static struct batch_call sound[SOUND_JOBS];
+static char sound_bodies[SOUND_JOBS][SOUND_TEXT_SIZE];
+
+static void *
+send_sound_jobs(void *unused)
+{
+	for (int i = 0; i < SOUND_JOBS; i++) {
+		g_snprintf(sound_bodies[i], SOUND_TEXT_SIZE,
+		    "{\"model\":\"alpha\",\"prompt\":\"sound-%d\","
+		    "\"max_tokens\":40}",
+		    i);
+		sound[i] = (struct batch_call){ .method = "POST",
+			.address = cluster->entries[i % 2].http,
+			.path = (char *)"/v1/completions",
+			.headers = headers,
+			.body = sound_bodies[i],
+			.start_after_ms = (int64_t)i * SOUND_GAP_MS };
+	}
+	http_call_batch(sound, SOUND_JOBS);
+	return NULL;
+}
+
+/* They are sent again beside the deadly job, and lost beside it again. */
+static void
+test_sound_jobs_are_barred(void)
+{
+	int64_t before = sum_crashes(cluster->engines, 2);
+	GThread *thread;
+	int barred = 0;
+
+	await_true(model_answers, NULL, "the model answers");
+	for (int i = 0; i < 2; i++)
+		set_faults(cluster->engines[i].backend,
+		    "{\"crash_prompt\": \"other\", " CRASH_FAULT "}");
+	thread = g_thread_new("sound", send_sound_jobs, NULL);
+	(void)repeat_job("/v1/completions",
+	    "{\"model\":\"alpha\",\"prompt\":\"other\",\"max_tokens\":4}");
+	g_thread_join(thread);
+	for (int i = 0; i < SOUND_JOBS; i++) {
+		barred += strcmp(response_text(&sound[i].response, "result"),
+			      "PROMPT_BARRED") == 0;
+		response_clear(&sound[i].response);
+	}
+	g_test_message("%d sound jobs barred", barred);
+	g_assert_cmpint(barred, ==, 0);
+	g_assert_cmpint(
+	    sum_crashes(cluster->engines, 2) - before, <=, CRASHES_MAX);
+}
+
 static void
 test_call_crashes_service_again_and_again(void)
 {
@@ -129,6 +182,8 @@
 	cluster = cluster_start(&opts);
 	g_test_add_func("/job_crashes/job_crashes_engine_after_engine",
 	    test_job_crashes_engine_after_engine);
+	g_test_add_func(
+	    "/job_crashes/sound_jobs_are_barred", test_sound_jobs_are_barred);
 	g_test_add_func("/job_crashes/call_crashes_service_again_and_again",
 	    test_call_crashes_service_again_and_again);
 	rc = g_test_run();
