sidecar, gateway: a hint no longer states an old load again

A sidecar hinted a gateway by sending its last load report once more, as every message carries how far the replicas have been read. The gateway took the old numbers for new ones, beside its own requests of now, and so misjudged the load of that replica. Hints to idle gateways made this more frequent.

The change: a hint is TM_REPLICAS_READ in the other direction, which says only how far another gateway has read.

Measured: /gateway/forgotten_read_leaves_gateway_deaf and /gateway/idle_gateway_gets_no_hint pass.

--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -35,6 +35,7 @@
 static void on_limit(void *, struct rpc_call *, void *);
 static void on_crash(void *, struct rpc_call *, void *);
 static void on_leaves(void *, struct rpc_call *, void *);
+static void on_replicas_read(void *, struct rpc_call *, void *);
 
 static const struct rpc_handler handlers[] = {
 	{ TM_REPLICA_HOLDS, (xdrproc_t)xdr_tm_replica_holds,
@@ -47,6 +48,8 @@
 	    on_crash, NULL },
 	{ TM_REPLICA_LEAVES, (xdrproc_t)xdr_tm_replica_leaves,
 	    sizeof(struct tm_replica_leaves), NULL, on_leaves, NULL },
+	{ TM_REPLICAS_READ, (xdrproc_t)xdr_tm_replicas_read,
+	    sizeof(struct tm_replicas_read), NULL, on_replicas_read, NULL },
 	{ 0 },
 };
 
@@ -220,6 +223,16 @@
 		    sc->gateway->backends, b, -1, "another gateway");
 }
 
+/* Another gateway has read so far. */
+static void
+on_replicas_read(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct sidecar_conns *sc = ctx;
+	const struct tm_replicas_read *msg = arg;
+
+	keyed_feed_hint(sc->gateway->replica_feed, msg->next);
+}
+
 /* ---- connections ---- */
 
 static void
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -656,7 +656,8 @@
 
 /*
  * One-way, gateway to a sidecar that all gateways choose alike: how far it has
- * read the replicas' topic of the platform's store.
+ * read the replicas' topic of the platform's store.  Sidecar to gateway: how far
+ * another one has.
  */
 struct tm_replicas_read {
 	unsigned hyper next;		/* offset of the next record */
--- a/src/sidecar/gateway_conns_hint.c
+++ b/src/sidecar/gateway_conns_hint.c
@@ -15,21 +15,19 @@
 #define HINT_DELAY_US (300 * USEC_PER_MSEC)
 #define HINT_PAUSE_US (500 * USEC_PER_MSEC) /* between hints to a gateway */
 
-/*
- * Every message to a gateway says how far another one has read, and a load
- * report is a small one.  Returns whether it was sent.
- */
+/* Returns whether it was sent.  A load report would state an old load again. */
 static bool
 hint_gateway(struct gateway_conns *gws, struct gateway_conn *gw)
 {
 	int64_t now = clock_now(gws->sidecar->process.clock);
+	struct tm_replicas_read msg = { gws->replicas_offset };
 
 	if (now - gws->replicas_offset_us < HINT_DELAY_US ||
 	    now - gw->hint_sent_us < HINT_PAUSE_US)
 		return false;
 	gw->hint_sent_us = now;
-	gateway_conn_send_load(gws, gw, &gws->sent_load);
-	return true;
+	return rpc_conn_send(gw->conn, TM_REPLICAS_READ,
+		   (xdrproc_t)xdr_tm_replicas_read, &msg) == 0;
 }
 
 void
