gateway: a replica that has unloaded the model is asked again only as a last resort

For a fraction of a second nobody knows how long the reload takes; another replica that has the model serves the request at once.

The change: the replica stays excluded while another one can run the request, and is selected again if none can.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -383,6 +383,8 @@
 	if (!exchange_passes_guard(x))
 		return;
 	choice = choose_backend(x, service);
+	if (choice.backend == NULL && exchange_forget_unloaded(x))
+		choice = choose_backend(x, service);
 	if (choice.backend == NULL && choice.limit_wait_us > 0) {
 		exchange_refuse(x, RESULT_QUEUE_FULL,
 		    "its replicas take no more requests", choice.limit_wait_us);
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -14,6 +14,7 @@
 #include "common/log.h"
 #include "coordination/retry_budget.h"
 #include "gateway/backends.h"
+#include "gateway/candidates.h"
 #include "gateway/crash_guard.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/limits.h"
@@ -312,7 +313,7 @@
 		b->superseded = true;
 	} else {
 		backend_mark_uncertain(b, clock_now(x->gateway->process.clock));
-		exchange_forget_tried(x, b); /* it can load the model again */
+		x->unloaded = candidates_id_hash(b);
 	}
 	log_info(x->gateway->process.logger, "replica refused as misdirected",
 	    LF_S("request", x->params.id), LF_S("replica", b->entry.id),
--- a/src/gateway/exchange_backend.c
+++ b/src/gateway/exchange_backend.c
@@ -146,17 +146,21 @@
 		exchange_note_outcome(x, OUTLIER_FAILED);
 }
 
-void
-exchange_forget_tried(struct exchange *x, const struct backend *b)
+bool
+exchange_forget_unloaded(struct exchange *x)
 {
-	uint64_t id = candidates_id_hash(b);
+	bool found = false;
 
-	for (unsigned i = 0; i < x->tried_count;) {
-		if (x->tried[i] == id)
-			x->tried[i] = x->tried[--x->tried_count];
-		else
+	for (unsigned i = 0; x->unloaded != 0 && i < x->tried_count;) {
+		if (x->tried[i] != x->unloaded) {
 			i++;
+			continue;
+		}
+		x->tried[i] = x->tried[--x->tried_count];
+		found = true;
 	}
+	x->unloaded = 0;
+	return found;
 }
 
 void
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -78,6 +78,8 @@
 	uint64_t last_event_id; /* id of the newest event the caller has */
 	uint64_t tried[EXCHANGE_TRIED_MAX]; /* id hashes of replicas */
 	unsigned tried_count;
+	/* Of the last replica that refused it as not loaded; 0: none. */
+	uint64_t unloaded;
 	TAILQ_ENTRY(exchange) link;
 };
 
@@ -157,8 +159,11 @@
 void exchange_drop_call(struct exchange *);
 /* Excludes the replica from further selections for this request. */
 void exchange_note_tried(struct exchange *, const struct backend *);
-/* The replica may run the request after all. */
-void exchange_forget_tried(struct exchange *, const struct backend *);
+/*
+ * The replica that had unloaded the model may load it again, if no other one
+ * can run the request.  Returns whether there is such a replica.
+ */
+bool exchange_forget_unloaded(struct exchange *);
 /* Counts the outcome for the replica's ejection. */
 void exchange_note_outcome(struct exchange *, enum outlier_kind);
 /*
