test, standin: a change among many routes is late behind a thin link, failing

The stand-in proxy can play the link of a VM: a rate for each direction, shared by all connections, with a small window for each.

--- a/src/standin/proxy.c
+++ b/src/standin/proxy.c
@@ -2,20 +2,25 @@
  * TCP proxy that injects network faults between two processes.
  *
  * Each --map LISTEN=TARGET forwards the connections of one address; --listen is
- * the control port, which returns the number of connections.  Faults besides
- * those of all stand-ins:
+ * the control port.  Faults besides those of all stand-ins:
  *
  *	link_delay_ms	delay in each direction
  *	cut		close all connections and new ones
  *	stall		forward nothing, and report no end of a connection
  *	one_way		"up" (to the target) or "down": stall this direction
  *	reset		close all connections once
+ *
+ * With --bytes-per-s the proxy plays the link of a VM: all connections share
+ * this rate in each direction, and a sender is held up once WINDOW_BYTES of a
+ * connection have not been forwarded.  GET on the control port returns the
+ * number of connections, and of bytes forwarded from the targets.
  */
 #include "standin/standin.h"
 
 #include <argp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <bsd/sys/queue.h>
 #include <event2/buffer.h>
@@ -23,6 +28,9 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
+#define WINDOW_BYTES 65536
+#define RATE_TICK_MS 10
+
 /* An address to listen on, and where its connections are forwarded to. */
 struct mapping {
 	struct proxy *proxy;
@@ -69,6 +77,10 @@
 	struct standin *standin;
 	char *listen;
 	int64_t delay_ms;
+	int64_t bytes_per_s; /* of the link in each direction; 0: unlimited */
+	int64_t bytes_down; /* forwarded from the targets */
+	struct bufferevent_rate_limit_group *up_rate; /* NULL: unlimited */
+	struct bufferevent_rate_limit_group *down_rate;
 	bool cut;
 	bool stall;
 	bool stall_up;
@@ -197,6 +209,9 @@
 	if (is_stalled(dir) || dir->conn->closed ||
 	    evbuffer_get_length(in) == 0)
 		return;
+	if (!dir->up)
+		dir->conn->proxy->bytes_down +=
+		    (int64_t)evbuffer_get_length(in);
 	if (is_delayed(dir))
 		send_delayed(dir, in, false);
 	else
@@ -240,6 +255,50 @@
 	TAILQ_INIT(&dir->in_flight);
 }
 
+/* A socket whose kernel buffer holds little, as the window of a thin link. */
+static evutil_socket_t
+narrow_socket(evutil_socket_t fd, int family)
+{
+	int size = WINDOW_BYTES;
+
+	if (fd == -1)
+		fd = socket(family, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	if (fd == -1 ||
+	    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size)) == -1)
+		abort();
+	return fd;
+}
+
+static void
+limit_rates(struct connection *conn)
+{
+	struct proxy *proxy = conn->proxy;
+
+	if (proxy->up_rate == NULL)
+		return;
+	bufferevent_add_to_rate_limit_group(conn->client, proxy->up_rate);
+	bufferevent_add_to_rate_limit_group(conn->server, proxy->down_rate);
+}
+
+static void
+create_rates(struct proxy *proxy)
+{
+	struct timeval tick = { 0, RATE_TICK_MS * 1000 };
+	size_t per_tick = (size_t)(proxy->bytes_per_s * RATE_TICK_MS / 1000);
+	struct ev_token_bucket_cfg *cfg;
+
+	if (proxy->bytes_per_s == 0)
+		return;
+	/* Reads only: what has been read is forwarded at once. */
+	cfg = ev_token_bucket_cfg_new(
+	    per_tick, per_tick, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
+	proxy->up_rate = bufferevent_rate_limit_group_new(proxy->base, cfg);
+	proxy->down_rate = bufferevent_rate_limit_group_new(proxy->base, cfg);
+	ev_token_bucket_cfg_free(cfg);
+	if (proxy->up_rate == NULL || proxy->down_rate == NULL)
+		abort();
+}
+
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
     struct sockaddr *sa, int len, void *arg)
@@ -247,19 +306,25 @@
 	struct mapping *mapping = arg;
 	struct proxy *proxy = mapping->proxy;
 	struct connection *conn;
+	evutil_socket_t server_fd = -1;
 
 	if (proxy->cut) {
 		evutil_closesocket(fd);
 		return;
 	}
+	if (proxy->bytes_per_s > 0) {
+		(void)narrow_socket(fd, sa->sa_family);
+		server_fd = narrow_socket(-1, mapping->target.ss_family);
+	}
 	conn = calloc(1, sizeof(*conn));
 	if (conn == NULL)
 		abort();
 	conn->proxy = proxy;
 	conn->client =
 	    bufferevent_socket_new(proxy->base, fd, BEV_OPT_CLOSE_ON_FREE);
-	conn->server =
-	    bufferevent_socket_new(proxy->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	conn->server = bufferevent_socket_new(
+	    proxy->base, server_fd, BEV_OPT_CLOSE_ON_FREE);
+	limit_rates(conn);
 	init_direction(&conn->up, conn, conn->client, conn->server, true);
 	init_direction(&conn->down, conn, conn->server, conn->client, false);
 	TAILQ_INSERT_TAIL(&proxy->conns, conn, link);
@@ -330,8 +395,9 @@
 
 	TAILQ_FOREACH(conn, &proxy->conns, link)
 		count++;
-	standin_reply(
-	    proxy->standin, req, 200, json_pack("{s:i}", "connections", count));
+	standin_reply(proxy->standin, req, 200,
+	    json_pack("{s:i, s:I}", "connections", count, "bytes_down",
+		(json_int_t)proxy->bytes_down));
 }
 
 /* Parses LISTEN=TARGET. */
@@ -365,6 +431,8 @@
 	{ "map", 'm', "LISTEN=TARGET", 0,
 	    "forward connections; may be repeated", 0 },
 	{ "delay-ms", 'd', "MS", 0, "delay in each direction", 0 },
+	{ "bytes-per-s", 'b', "N", 0, "rate in each direction; 0: unlimited",
+	    0 },
 	{ 0 },
 };
 
@@ -380,6 +448,9 @@
 	case 'd':
 		proxy->delay_ms = strtoll(arg, NULL, 10);
 		return 0;
+	case 'b':
+		proxy->bytes_per_s = strtoll(arg, NULL, 10);
+		return 0;
 	case 'm':
 		if (add_mapping(proxy, arg) == -1)
 			argp_error(state, "map: must be LISTEN=TARGET");
@@ -423,6 +494,7 @@
 	    proxy.listen == NULL)
 		return 2;
 	proxy.base = event_base_new();
+	create_rates(&proxy);
 	opts.base = proxy.base;
 	opts.listen = proxy.listen;
 	proxy.standin = standin_create(&opts);
--- a/test/process/harness_fleet.c
+++ b/test/process/harness_fleet.c
@@ -147,17 +147,25 @@
 	g_free(settings);
 }
 
+static bool
+is_behind_link(int gateway)
+{
+	return fleet.link_bytes_per_s > 0 && gateway == FLEET_THIN;
+}
+
 void
 fleet_start_gateway(int i)
 {
 	char *name = g_strdup_printf("gateway-%d", i);
+	bool thin = is_behind_link(i);
 	char *settings = g_strdup_printf(
 	    "[daemon]\nvm = %s\nzone = a\n[http]\nlisten = %s\nready = %s\n"
 	    "[peers]\nlisten = %s\nseeds = %s,%s\n"
 	    "[store]\naddress = %s\n[sidecars]\nport = %d\n",
 	    name, fleet.http_address[i], fleet.ready_address[i],
 	    fleet.peer_address[i], fleet.peer_address[0], fleet.peer_address[1],
-	    fleet.gateway_store_address, fleet.sidecar_port);
+	    thin ? fleet.link_store : fleet.gateway_store_address,
+	    thin ? fleet.link_sidecar_port : fleet.sidecar_port);
 
 	start_daemon(&fleet.gateways[i], name, "gateway", settings);
 	g_free(settings);
@@ -211,6 +219,57 @@
 	    fleet.store);
 }
 
+static void
+add_link_map(const char *listen, const char *target)
+{
+	char *map = g_strdup_printf("%s=%s", listen, target);
+
+	proc_add_arg(&fleet.link, "--map");
+	proc_add_arg(&fleet.link, map);
+	g_free(map);
+}
+
+static void
+map_sidecar(const struct fleet_backend *engine)
+{
+	struct addr addr;
+	char *listen, *target;
+
+	g_assert_cmpint(addr_parse(&addr, engine->address), ==, 0);
+	listen = g_strdup_printf("%s:%d", addr.host, fleet.link_sidecar_port);
+	target = g_strdup_printf("%s:%d", addr.host, fleet.sidecar_port);
+	add_link_map(listen, target);
+	g_free(listen);
+	g_free(target);
+}
+
+static void
+start_link(void)
+{
+	char rate[24], any[HARNESS_TEXT_SIZE];
+
+	if (fleet.link_bytes_per_s == 0)
+		return;
+	snprintf(rate, sizeof(rate), "%lld", (long long)fleet.link_bytes_per_s);
+	new_address(fleet.link_store);
+	new_address(fleet.link_http);
+	new_address(fleet.link_control);
+	new_address(any);
+	fleet.link_sidecar_port = atoi(strchr(any, ':') + 1);
+	proc_init(
+	    &fleet.link, fleet.dir, "link", "tamarackmast-standin", "proxy");
+	proc_add_arg(&fleet.link, "--listen");
+	proc_add_arg(&fleet.link, fleet.link_control);
+	proc_add_arg(&fleet.link, "--bytes-per-s");
+	proc_add_arg(&fleet.link, rate);
+	add_link_map(fleet.link_store, fleet.store);
+	add_link_map(fleet.link_http, fleet.http_address[FLEET_THIN]);
+	for (int i = 0; i < FLEET_ENGINES; i++)
+		map_sidecar(&fleet.engines[i]);
+	proc_start(&fleet.link);
+	await_true(is_listening, fleet.link_control, "link");
+}
+
 /* A gateway can be ready before it is connected to all sidecars. */
 static bool
 has_learned_models(void *gateway)
@@ -228,7 +287,7 @@
 }
 
 static void
-start_processes(bool proxied)
+start_processes(bool proxied, int64_t link_bytes_per_s)
 {
 	static const char *const first[] = { "--model", "m1", "--disk", "m1",
 		NULL };
@@ -239,6 +298,7 @@
 
 	memset(&fleet, 0, sizeof(fleet));
 	fleet.proxied = proxied;
+	fleet.link_bytes_per_s = link_bytes_per_s;
 	snprintf(fleet.dir, sizeof(fleet.dir), "%s/fleet-XXXXXX", build_dir());
 	g_assert_nonnull(mkdtemp(fleet.dir));
 	new_address(fleet.store);
@@ -274,6 +334,7 @@
 		new_address(fleet.ready_address[i]);
 		new_address(fleet.peer_address[i]);
 	}
+	start_link();
 	for (int i = 0; i < FLEET_GATEWAYS; i++)
 		fleet_start_gateway(i);
 	for (int i = 0; i < FLEET_GATEWAYS; i++) {
@@ -287,13 +348,19 @@
 void
 fleet_start(void)
 {
-	start_processes(false);
+	start_processes(false, 0);
 }
 
 void
 fleet_start_proxied(void)
 {
-	start_processes(true);
+	start_processes(true, 0);
+}
+
+void
+fleet_start_thin_link(int64_t bytes_per_s)
+{
+	start_processes(false, bytes_per_s);
 }
 
 static void
@@ -324,6 +391,10 @@
 		proc_kill(&fleet.store_proxy);
 		proc_clear(&fleet.store_proxy);
 	}
+	if (fleet.link_bytes_per_s > 0) {
+		proc_kill(&fleet.link);
+		proc_clear(&fleet.link);
+	}
 	proc_kill(&fleet.store_proc);
 	proc_clear(&fleet.store_proc);
 	if (getenv("TM_KEEP_LOGS") == NULL)
@@ -343,8 +414,10 @@
 		"Tamarackmast-Deadline-Ms: 10000", id,
 		model == NULL ? NULL : named, NULL };
 
-	http_call(
-	    resp, "GET", fleet.http_address[gateway], path, headers, NULL);
+	http_call(resp, "GET",
+	    is_behind_link(gateway) ? fleet.link_http
+				    : fleet.http_address[gateway],
+	    path, headers, NULL);
 	g_free(id);
 	g_free(named);
 	return number;
--- a/test/process/harness_fleet.h
+++ b/test/process/harness_fleet.h
@@ -14,6 +14,7 @@
 #define FLEET_ENGINES 2
 #define FLEET_SERVICES 2
 #define FLEET_GATEWAYS 2
+#define FLEET_THIN (FLEET_GATEWAYS - 1) /* behind the link, if there is one */
 #define FLEET_EVENTS 8 /* of each stream */
 
 /* A backend server: a replica stand-in, and the sidecar of an engine. */
@@ -39,6 +40,16 @@
 	char gateway_store_address[HARNESS_TEXT_SIZE];
 	char store_proxy_control[HARNESS_TEXT_SIZE]; /* for set_faults() */
 	struct proc store_proxy;
+	/*
+	 * The link of the last gateway, which is in the way of all its
+	 * connections but those to replicas; unused if its rate is 0.
+	 */
+	int64_t link_bytes_per_s;
+	int link_sidecar_port;
+	char link_store[HARNESS_TEXT_SIZE];
+	char link_http[HARNESS_TEXT_SIZE]; /* for callers of that gateway */
+	char link_control[HARNESS_TEXT_SIZE];
+	struct proc link;
 	struct fleet_backend engines[FLEET_ENGINES];
 	struct fleet_backend services[FLEET_SERVICES];
 	struct proc gateways[FLEET_GATEWAYS];
@@ -56,6 +67,11 @@
 void fleet_start(void);
 /* As fleet_start(), with proxies before the store and each backend server. */
 void fleet_start_proxied(void);
+/*
+ * As fleet_start(), with a link of this rate in each direction before the last
+ * gateway.
+ */
+void fleet_start_thin_link(int64_t bytes_per_s);
 /* Kills all processes; removes the directory unless TM_KEEP_LOGS is set. */
 void fleet_stop(void);
 void fleet_start_gateway(int i);
--- /dev/null
+++ b/test/process/test_config_changes.c
@@ -0,0 +1,142 @@
+/*
+ * Changes of a configuration with many routes, at a gateway behind the thinnest
+ * link that front VMs have.
+ */
+#include <glib.h>
+
+#include "harness_fleet.h"
+
+#define THIN_LINK_BYTES_PER_S (10 * 1000 * 1000 / 8)
+#define MANY_ROUTES 10000 /* of the users' target size */
+#define CHANGES 10
+#define CHANGE_PAUSE_MS 1000
+/* The pages' bound from the acknowledgement to the last gateway. */
+#define IN_FORCE_MAX_MS 2000
+/* Load reports included; a document of MANY_ROUTES has about 1.7 MB. */
+#define CHANGE_MAX_BYTES 16384
+
+/* Appends a route; those of different n have different prefixes. */
+static void
+add_route(GString *routes, int n)
+{
+	g_string_append_printf(routes,
+	    ",{\"name\":\"r%d\",\"host\":\"h.example\",\"path_prefix\":"
+	    "\"/r%d/\",\"kind\":\"safe\",\"timeout_ms\":5000,"
+	    "\"latency_goal_ms\":200,\"priority\":1,\"service\":\"app\","
+	    "\"max_attempts\":2}",
+	    n, n);
+}
+
+static bool
+serves_route(int gateway, int n)
+{
+	char *path = g_strdup_printf("/r%d/1", n);
+	struct response resp;
+	bool ok;
+
+	(void)fleet_request(&resp, gateway, path, NULL);
+	ok = resp.code == 200;
+	response_clear(&resp);
+	g_free(path);
+	return ok;
+}
+
+struct wanted_route {
+	int gateway;
+	int n;
+};
+
+static bool
+serves_wanted_route(void *ctx)
+{
+	const struct wanted_route *w = ctx;
+
+	return serves_route(w->gateway, w->n);
+}
+
+static void
+await_route(int gateway, int n)
+{
+	struct wanted_route wanted = { gateway, n };
+
+	await_true(serves_wanted_route, &wanted, "route served");
+}
+
+/* From the acknowledgement of the last change until its route is served. */
+static int64_t
+time_to_force(int gateway, int n)
+{
+	int64_t acked_ms = now_ms();
+
+	await_route(gateway, n);
+	return now_ms() - acked_ms;
+}
+
+static GString *
+start_with_routes(int count)
+{
+	GString *routes = g_string_new("");
+
+	fleet_start_thin_link(THIN_LINK_BYTES_PER_S);
+	for (int n = 0; n < count; n++)
+		add_route(routes, n);
+	fleet_configure(routes->str);
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		await_route(i, count - 1);
+	return routes;
+}
+
+/*
+ * Each change adds a route, while the last ones may still be on their way to
+ * the gateway.
+ */
+static void
+test_thin_link_falls_behind(void)
+{
+	GString *routes = start_with_routes(MANY_ROUTES);
+	int64_t next_ms = now_ms(), took_ms;
+
+	for (int n = MANY_ROUTES; n < MANY_ROUTES + CHANGES; n++) {
+		while (now_ms() < next_ms)
+			sleep_ms(5);
+		next_ms += CHANGE_PAUSE_MS;
+		add_route(routes, n);
+		fleet_configure(routes->str);
+		took_ms = time_to_force(FLEET_THIN, n);
+		g_test_message(
+		    "change %d: %lld ms", n - MANY_ROUTES, (long long)took_ms);
+		g_assert_cmpint(took_ms, <=, IN_FORCE_MAX_MS);
+	}
+	g_string_free(routes, TRUE);
+	fleet_stop();
+}
+
+static void
+test_change_costs_whole_table(void)
+{
+	GString *routes = start_with_routes(MANY_ROUTES);
+	int64_t before = read_journal_int(fleet.link_control, "bytes_down");
+	int64_t bytes;
+
+	for (int n = MANY_ROUTES; n < MANY_ROUTES + CHANGES; n++) {
+		add_route(routes, n);
+		fleet_configure(routes->str);
+		await_route(FLEET_THIN, n);
+	}
+	bytes = read_journal_int(fleet.link_control, "bytes_down") - before;
+	g_test_message("%lld bytes a change", (long long)(bytes / CHANGES));
+	g_assert_cmpint(bytes, <=, (int64_t)CHANGES * CHANGE_MAX_BYTES);
+	g_string_free(routes, TRUE);
+	fleet_stop();
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/config_changes/thin_link_falls_behind",
+	    test_thin_link_falls_behind);
+	g_test_add_func("/config_changes/change_costs_whole_table",
+	    test_change_costs_whole_table);
+	return g_test_run();
+}
