--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -97,6 +97,12 @@
 	const void *body; /* copied */
 	size_t body_len;
 	int64_t timeout_us; /* of the whole call; 0: none */
+	/*
+	 * Once the answer has begun, the call instead times out when none of it
+	 * has arrived for so long, however long it takes.  0: timeout_us holds
+	 * to the end.
+	 */
+	int64_t stall_us;
 	size_t max_body; /* see http_client_options; 0: the client's */
 	bool new_connection; /* don't use, nor become, an idle connection */
 	/* Called before the body is read; NULL: any response is accepted. */
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -359,6 +359,17 @@
 	evhttp_clear_headers(&headers);
 }
 
+/* An answer that arrives slowly is not cut off: see stall_us. */
+static void
+restart_timeout(struct http_call *call)
+{
+	struct timeval tv = clock_timeval(call->opts.stall_us);
+
+	if (call->opts.stall_us > 0 && call->timer != NULL && call->code != 0 &&
+	    !call->ended)
+		evtimer_add(call->timer, &tv);
+}
+
 /* Parses received data; len 0: the server has closed the connection. */
 static void
 parse_response(struct http_client_conn *c, const char *data, size_t len)
@@ -377,6 +388,8 @@
 			conn_failed(c);
 		return;
 	}
+	if (c->call != NULL)
+		restart_timeout(c->call);
 	deliver_body(c);
 	c->ended_by_close = len == 0;
 	if (!c->dead && c->complete)
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -35,6 +35,7 @@
 	CLOSE,
 	RESET,
 	REPEAT, /* send `repeated` until the client closes the connection */
+	TRICKLE, /* send `repeated` byte by byte */
 };
 
 /* The server's answer to one request. */
@@ -48,7 +49,9 @@
 	struct evconnlistener *listener;
 	struct http_client *client;
 	const struct step *script;
-	const char *repeated; /* for REPEAT */
+	const char *repeated; /* for REPEAT and TRICKLE */
+	struct event *trickle; /* pending while bytes of it are left */
+	int trickle_fd;
 	unsigned step;
 	unsigned connections;
 	char address[32];
@@ -61,11 +64,27 @@
 	bool over_limit;
 	const char *accept_id; /* discards answers with another "Id" */
 	bool takes_chunks; /* but drains none of them */
+	int64_t timeout_us; /* of calls; 0: CALL_TIMEOUT_S */
+	int64_t stall_us; /* of calls */
 	size_t most_held; /* bytes that the client held for a call */
 	struct http_buffer_quota quota;
 };
 
 #define REPEAT_BYTES 16384 /* written at once */
+#define TRICKLE_US 20000 /* between two bytes */
+
+static void
+on_trickle(evutil_socket_t fd, short what, void *arg)
+{
+	struct fixture *f = arg;
+	struct timeval tv = { 0, TRICKLE_US };
+
+	if (*f->repeated == '\0' ||
+	    send(f->trickle_fd, f->repeated, 1, MSG_NOSIGNAL) != 1)
+		return;
+	f->repeated++;
+	evtimer_add(f->trickle, &tv);
+}
 
 static void
 on_written(struct bufferevent *bev, void *arg)
@@ -91,7 +110,11 @@
 	    ==, (int)strlen(s->bytes));
 	if (s->ending == REPEAT)
 		on_written(bev, f);
-	if (s->ending == KEEP || s->ending == REPEAT)
+	if (s->ending == TRICKLE) {
+		f->trickle_fd = fd;
+		on_trickle(-1, 0, f);
+	}
+	if (s->ending != CLOSE && s->ending != RESET)
 		return;
 	if (s->ending == RESET)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
@@ -155,12 +178,14 @@
 	opts.quota = &f->quota;
 	f->quota.max = QUOTA;
 	f->client = http_client_create(&opts);
+	f->trickle = evtimer_new(f->base, on_trickle, f);
 }
 
 static void
 close_fixture(struct fixture *f)
 {
 	http_client_destroy(f->client);
+	event_free(f->trickle);
 	if (f->listener != NULL)
 		evconnlistener_free(f->listener);
 	event_base_free(f->base);
@@ -214,7 +239,9 @@
 	struct http_call_options opts = {
 		.method = EVHTTP_REQ_GET,
 		.path = "/",
-		.timeout_us = CALL_TIMEOUT_S * 1000000LL,
+		.timeout_us = f->timeout_us != 0 ? f->timeout_us
+						 : CALL_TIMEOUT_S * 1000000LL,
+		.stall_us = f->stall_us,
 		.on_headers = on_headers,
 		.on_chunk = f->takes_chunks ? on_chunk : NULL,
 		.on_done = on_done,
@@ -454,6 +481,30 @@
 	close_fixture(&f);
 }
 
+/* An answer that takes longer than the timeout, and one that stops midway. */
+static void
+test_slow_answer_is_cut_off(void)
+{
+	static const struct step script[] = {
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n", TRICKLE },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n", TRICKLE }
+	};
+	struct fixture f;
+
+	open_fixture(&f, script);
+	f.repeated = "aaaaaaaaaaaaaaaaaaaa";
+	f.timeout_us = 200000;
+	f.stall_us = 5000000;
+	call(&f);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_OK);
+	g_assert_cmpstr(f.body, ==, "aaaaaaaaaaaaaaaaaaaa");
+	f.repeated = "aaaa";
+	f.stall_us = 200000;
+	call(&f);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_TIMED_OUT);
+	close_fixture(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -465,6 +516,8 @@
 	g_test_add_func("/http_client/ends", test_ends);
 	g_test_add_func("/http_client/endless_answers", test_endless_answers);
 	g_test_add_func("/http_client/quota", test_quota);
+	g_test_add_func(
+	    "/http_client/slow_answer_is_cut_off", test_slow_answer_is_cut_off);
 	g_test_add_func("/http_client/not_sent", test_not_sent);
 	return g_test_run();
 }
