transport: a record that arrives slowly does not close its connection

Gateways behind thin links lost their sidecars ("record not complete in time"), with their load reports, while a deployment came in: a record had stall_us (2 or 3 s) to arrive, however large it was and whatever shared the link. Then the transfer began again on another connection.

Change: the timer starts again as long as 2 KiB have arrived within stall_us. A peer that stops in the middle of a record, or sends it byte by byte, still loses its connection.

--- a/src/transport/rpc.h
+++ b/src/transport/rpc.h
@@ -67,9 +67,9 @@
 	size_t max_output; /* bytes queued on a connection; more close it */
 	unsigned max_accepted; /* open connections from peers; 0: unlimited */
 	/*
-	 * Closes a connection if a record does not arrive completely, if the
-	 * first one does not arrive after the accept, or if queued bytes are
-	 * not written, within this time; 0: unlimited.
+	 * Closes a connection if the first record does not arrive after the
+	 * accept, if almost nothing arrives of an incomplete record, or if
+	 * queued bytes are not written, within this time; 0: unlimited.
 	 */
 	int64_t stall_us;
 	int64_t peer_timeout_us; /* see socket_set_peer_timeout(); 0: none */
--- a/src/transport/rpc_conn.c
+++ b/src/transport/rpc_conn.c
@@ -14,6 +14,8 @@
 #include "transport/tls.h"
 
 #define FRAGMENTS_MAX 64 /* of one record; max_record ignores empty ones */
+/* Least that must arrive of an incomplete record within stall_us. */
+#define STALL_PROGRESS_BYTES 2048
 
 /* ---- reading ---- */
 
@@ -55,23 +57,35 @@
 	return 1;
 }
 
-/*
- * Starts the timer at the first byte of a record, and stops it at its end.  A
- * fragment without data counts as begun too.
- */
+/* A fragment without data counts as begun too. */
+static size_t
+incomplete_bytes(const struct rpc_conn *conn)
+{
+	return evbuffer_get_length(bufferevent_get_input(conn->bev)) +
+	       evbuffer_get_length(conn->record) + conn->fragments;
+}
+
 static void
-update_stall_timer(struct rpc_conn *conn, bool completed)
+start_stall_timer(struct rpc_conn *conn)
 {
 	struct timeval tv = clock_timeval(conn->rpc->opts.stall_us);
-	size_t partial = evbuffer_get_length(bufferevent_get_input(conn->bev)) +
-			 evbuffer_get_length(conn->record) + conn->fragments;
+
+	conn->stall_bytes = incomplete_bytes(conn);
+	event_add(conn->stall_timer, &tv);
+}
+
+/* Starts the timer at the first byte of a record, and stops it at its end. */
+static void
+update_stall_timer(struct rpc_conn *conn, bool completed)
+{
+	size_t partial = incomplete_bytes(conn);
 
 	if (conn->rpc->opts.stall_us == 0 || conn->closing)
 		return;
 	if (completed || partial == 0)
 		event_del(conn->stall_timer);
 	if (partial > 0 && !event_pending(conn->stall_timer, EV_TIMEOUT, NULL))
-		event_add(conn->stall_timer, &tv);
+		start_stall_timer(conn);
 }
 
 static void
@@ -79,6 +93,11 @@
 {
 	struct rpc_conn *conn = arg;
 
+	if (incomplete_bytes(conn) >=
+	    conn->stall_bytes + STALL_PROGRESS_BYTES) {
+		start_stall_timer(conn);
+		return;
+	}
 	(*conn->rpc->stalled)++;
 	log_warn(conn->rpc->opts.logger, "closing a peer's connection",
 	    LF_S("reason", "record not complete in time"));
--- a/src/transport/rpc_internal.h
+++ b/src/transport/rpc_internal.h
@@ -57,6 +57,7 @@
 	struct bufferevent *bev;
 	struct event *reaper; /* frees the connection */
 	struct event *stall_timer; /* pending while a record is incomplete */
+	size_t stall_bytes; /* of the record when the timer was started */
 	bool open; /* connected */
 	bool closing;
 	void (*on_opened)(void *, struct rpc_conn *, bool);
