--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PREFIX ?= /usr/local
 VERSION := 0.1.0
 
-PKGS := libevent libevent_openssl libtirpc jansson inih libbsd libxxhash openssl
+PKGS := libevent libevent_openssl libtirpc jansson inih libbsd libxxhash openssl libzstd
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser
 TEST_PKGS := glib-2.0 libcurl
--- a/src/coordination/deployment_sync.c
+++ b/src/coordination/deployment_sync.c
@@ -3,38 +3,68 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/buffer.h>
+
 #include "common/clock.h"
 #include "common/log.h"
 #include "common/process.h"
 #include "protocol/tm_xdr.h"
 #include "state/deployment.h"
+#include "state/deployment_history.h"
+#include "state/document_delta.h"
 #include "transport/rpc.h"
 
-/*
- * A daemon that can reach the store has read a new deployment by then.  One
- * that has no deployment yet requests it at once.
- */
-#define REQUEST_DELAY_US (400 * USEC_PER_MSEC)
-#define REQUEST_INTERVAL_US (500 * USEC_PER_MSEC) /* between two requests */
+/* A daemon that follows the store has read a new deployment by then. */
+#define STORE_FIRST_US (400 * USEC_PER_MSEC)
+#define PART_TIMEOUT_US (2 * USEC_PER_SEC)
+#define FAILED_PAUSE_US (1 * USEC_PER_SEC) /* of a peer, after a failure */
+/* Between requests of a peer that sends whole documents only. */
+#define WHOLE_PAUSE_US (3 * USEC_PER_SEC)
+#define SOURCES_MAX 8 /* peers that are known to be newer */
+/* A transfer that costs little beside the store's answer. */
+#define SMALL_TRANSFER_BYTES 16384
+
+/* A peer with a newer version. */
+struct source {
+	struct rpc_conn *conn; /* NULL: unused */
+	uint64_t version;
+	bool whole_only; /* does not know TM_DEPLOYMENT_GET */
+	int64_t not_before_us; /* of the next request */
+};
+
+/* What has arrived of the transfer in progress. */
+struct transfer {
+	struct rpc_conn *conn; /* NULL: no request is pending */
+	uint64_t id;
+	struct evbuffer *data;
+	size_t total; /* bytes; 0: the first part has not arrived */
+	int64_t start_us;
+};
 
 struct deployment_sync {
 	struct deployment_sync_options opts;
 	struct deployment *deployment;
-	void *doc; /* its document as received, for peers */
-	size_t len; /* bytes */
-	uint64_t peer_version; /* newest one that a peer's message carried */
-	struct rpc_conn *peer_conn; /* to that peer; NULL: closed */
+	struct deployment_history *history;
+	uint64_t newest; /* version that any peer has named */
 	int64_t outdated_since_us; /* when a peer first had a newer version */
-	int64_t requested_us; /* when the last request was sent */
+	struct source sources[SOURCES_MAX];
+	struct transfer transfer;
 };
 
+static void request_part(struct deployment_sync *, const struct source *);
+
 struct deployment_sync *
 deployment_sync_create(const struct deployment_sync_options *opts)
 {
 	struct deployment_sync *s = calloc(1, sizeof(*s));
 
-	if (s != NULL)
-		s->opts = *opts;
+	if (s == NULL)
+		return NULL;
+	s->opts = *opts;
+	s->history = deployment_history_create();
+	s->transfer.data = evbuffer_new();
+	if (s->transfer.data == NULL)
+		abort();
 	return s;
 }
 
@@ -44,7 +74,8 @@
 	if (s == NULL)
 		return;
 	deployment_unref(s->deployment);
-	free(s->doc);
+	deployment_history_destroy(s->history);
+	evbuffer_free(s->transfer.data);
 	free(s);
 }
 
@@ -60,49 +91,87 @@
 	return s->deployment == NULL ? 0 : s->deployment->version;
 }
 
-static void
-keep_doc(struct deployment_sync *s, const void *doc, size_t len)
+bool
+deployment_sync_outdated(const struct deployment_sync *s)
 {
-	void *copy = malloc(len);
-
-	if (copy == NULL)
-		abort();
-	memcpy(copy, doc, len);
-	free(s->doc);
-	s->doc = copy;
-	s->len = len;
+	return s->newest > deployment_sync_version(s);
 }
 
-static void
-apply_doc(
-    struct deployment_sync *s, const void *doc, size_t len, const char *from)
+/* ---- taking a deployment ---- */
+
+/* Returns NULL if the document is malformed, or not newer. */
+static struct deployment *
+decode_newer(struct deployment_sync *s, const struct deployment_document *doc,
+    const char *from)
 {
-	struct logger *logger = s->opts.process->logger;
 	struct fleet_error err;
 	struct deployment *d =
-	    s->opts.driver->decode_deployment(doc, len, &err);
+	    s->opts.driver->decode_deployment(doc->data, doc->len, &err);
 
 	if (d == NULL) {
-		log_error(logger, "deployment cannot be decoded",
-		    LF_S("from", from), LF_S("why", err.text),
-		    LF_I("bytes", len));
-		return;
+		log_error(s->opts.process->logger,
+		    "deployment cannot be decoded", LF_S("from", from),
+		    LF_S("why", err.text), LF_I("bytes", doc->len));
+		return NULL;
 	}
 	/* After an outage the store may return an older one. */
 	if (d->version <= deployment_sync_version(s)) {
 		deployment_unref(d);
-		return;
+		return NULL;
 	}
-	keep_doc(s, doc, len);
-	log_info(logger, "deployment in force", LF_S("from", from),
-	    LF_I("version", d->version),
+	return d;
+}
+
+/* bytes: that were received for it. */
+static void
+put_in_force(struct deployment_sync *s, struct deployment *d, const char *from,
+    size_t bytes, int64_t took_us)
+{
+	log_info(s->opts.process->logger, "deployment in force",
+	    LF_S("from", from), LF_I("version", d->version),
 	    LF_I("was", deployment_sync_version(s)),
-	    LF_I("routes", d->route_count), LF_I("services", d->service_count));
+	    LF_I("routes", d->route_count), LF_I("services", d->service_count),
+	    LF_I("bytes", bytes), LF_I("took_us", took_us));
 	deployment_unref(s->deployment);
 	s->deployment = d;
 	s->opts.changed(s->opts.ctx);
 }
 
+static void
+apply_store_document(
+    struct deployment_sync *s, const void *data, size_t len, uint64_t next)
+{
+	struct deployment_document doc = {
+		.next = next, .data = data, .len = len
+	};
+	const struct deployment_document *newest =
+	    deployment_history_newest(s->history);
+	struct deployment *d;
+
+	/* A peer may have sent it before. */
+	if (newest->len == len && memcmp(newest->data, data, len) == 0)
+		return;
+	d = decode_newer(s, &doc, "store");
+	if (d == NULL)
+		return;
+	doc.version = d->version;
+	deployment_history_put(s->history, &doc);
+	put_in_force(s, d, "store", len, 0);
+}
+
+static void
+apply_peer_document(struct deployment_sync *s, const void *data, size_t len)
+{
+	struct deployment_document doc = { .data = data, .len = len };
+	struct deployment *d = decode_newer(s, &doc, "peer");
+
+	if (d == NULL)
+		return;
+	doc.version = d->version;
+	deployment_history_put(s->history, &doc);
+	put_in_force(s, d, "peer", len, 0);
+}
+
 void
 deployment_sync_on_record(void *sync, const struct fleet_record *record)
 {
@@ -111,10 +180,202 @@
 
 	if (record->key_len == strlen(key) &&
 	    memcmp(record->key, key, record->key_len) == 0 && record->len > 0)
-		apply_doc(s, record->value, record->len, "store");
+		apply_store_document(
+		    s, record->value, record->len, record->offset + 1);
+}
+
+/* ---- requests to peers ---- */
+
+static struct source *
+find_source(struct deployment_sync *s, const struct rpc_conn *conn)
+{
+	for (unsigned i = 0; i < SOURCES_MAX; i++) {
+		if (s->sources[i].conn == conn)
+			return &s->sources[i];
+	}
+	return NULL;
+}
+
+static void
+end_transfer(struct deployment_sync *s)
+{
+	evbuffer_drain(s->transfer.data, evbuffer_get_length(s->transfer.data));
+	s->transfer.conn = NULL;
+	s->transfer.id = 0;
+	s->transfer.total = 0;
+}
+
+static void
+apply_transfer(struct deployment_sync *s)
+{
+	size_t len = evbuffer_get_length(s->transfer.data);
+	struct deployment_received received;
+	struct deployment *d;
+	const char *why;
+
+	if (deployment_history_decode(s->history,
+		evbuffer_pullup(s->transfer.data, -1), len, &received,
+		&why) == -1) {
+		log_warn(s->opts.process->logger,
+		    "deployment from a peer refused", LF_S("why", why),
+		    LF_I("bytes", len),
+		    LF_I("have", deployment_sync_version(s)));
+		return;
+	}
+	d = decode_newer(s, &received.document, "peer");
+	if (d != NULL && d->version == received.document.version) {
+		uint64_t next = received.document.next;
+
+		deployment_history_put_received(s->history, &received);
+		s->opts.received(s->opts.ctx, next);
+		put_in_force(s, d, "peer", len,
+		    clock_now(s->opts.process->clock) - s->transfer.start_us);
+	} else {
+		deployment_unref(d);
+	}
+	deployment_received_clear(&received);
+}
+
+/* The peer knows whole documents only. */
+static void
+request_whole(struct deployment_sync *s, struct source *from)
+{
+	struct tm_deployment_ask ask = { deployment_sync_version(s) };
+
+	from->whole_only = true;
+	from->not_before_us =
+	    clock_now(s->opts.process->clock) + WHOLE_PAUSE_US;
+	log_info(s->opts.process->logger, "deployment asked from a peer",
+	    LF_I("have", ask.have), LF_I("seen", from->version),
+	    LF_I("whole", 1));
+	(void)rpc_conn_send(from->conn, TM_DEPLOYMENT_ASK,
+	    (xdrproc_t)xdr_tm_deployment_ask, &ask);
 }
 
-/* ---- between peers ---- */
+/* Returns whether a further part is due. */
+static bool
+take_part(struct deployment_sync *s, const struct tm_deployment_part *part)
+{
+	struct transfer *t = &s->transfer;
+
+	if (part->ver <= deployment_sync_version(s) || part->total == 0) {
+		end_transfer(s); /* the store was faster, or it is too large */
+		return false;
+	}
+	if (part->transfer != t->id) {
+		/* The peer has another version since, or it is the first. */
+		evbuffer_drain(t->data, evbuffer_get_length(t->data));
+		t->id = part->transfer;
+		t->total = part->total;
+	}
+	if (part->from != evbuffer_get_length(t->data) ||
+	    part->data.data_len == 0 || part->total > DOCUMENT_MAX ||
+	    part->from + part->data.data_len > part->total) {
+		end_transfer(s);
+		return false;
+	}
+	evbuffer_add(t->data, part->data.data_val, part->data.data_len);
+	if (evbuffer_get_length(t->data) < t->total)
+		return true;
+	apply_transfer(s);
+	end_transfer(s);
+	return false;
+}
+
+static void
+on_part(void *ctx, enum rpc_status status, void *reply)
+{
+	struct deployment_sync *s = ctx;
+	struct source *from = find_source(s, s->transfer.conn);
+
+	s->transfer.conn = NULL;
+	if (status == RPC_REJECTED && from != NULL) {
+		end_transfer(s);
+		request_whole(s, from);
+		return;
+	}
+	if (status != RPC_OK) {
+		if (from != NULL)
+			from->not_before_us =
+			    clock_now(s->opts.process->clock) + FAILED_PAUSE_US;
+		end_transfer(s);
+		return;
+	}
+	if (take_part(s, reply) && from != NULL)
+		request_part(s, from);
+	else
+		deployment_sync_tick(s);
+}
+
+static void
+request_part(struct deployment_sync *s, const struct source *from)
+{
+	const struct deployment_document *newest =
+	    deployment_history_newest(s->history);
+	struct tm_deployment_get args = {
+		.have = deployment_sync_version(s),
+		.base = newest->hash,
+		.transfer = s->transfer.id,
+		.from = (u_int)evbuffer_get_length(s->transfer.data),
+		.max = s->opts.store_answers(s->opts.ctx) ? SMALL_TRANSFER_BYTES
+							  : DOCUMENT_MAX,
+	};
+
+	s->transfer.conn = from->conn;
+	rpc_conn_call(from->conn, TM_DEPLOYMENT_GET,
+	    (xdrproc_t)xdr_tm_deployment_get, &args,
+	    (xdrproc_t)xdr_tm_deployment_part,
+	    sizeof(struct tm_deployment_part), PART_TIMEOUT_US, on_part, s);
+}
+
+/* The newest one that may be asked; NULL: none. */
+static struct source *
+choose_source(struct deployment_sync *s)
+{
+	int64_t now = clock_now(s->opts.process->clock);
+	struct source *best = NULL;
+
+	for (unsigned i = 0; i < SOURCES_MAX; i++) {
+		struct source *c = &s->sources[i];
+
+		if (c->conn == NULL || now < c->not_before_us ||
+		    c->version <= deployment_sync_version(s) ||
+		    (best != NULL && c->version <= best->version))
+			continue;
+		best = c;
+	}
+	return best;
+}
+
+void
+deployment_sync_tick(struct deployment_sync *s)
+{
+	int64_t now = clock_now(s->opts.process->clock);
+	bool peers_first =
+	    s->deployment == NULL || s->opts.peers_first(s->opts.ctx);
+	struct source *from;
+
+	if (!deployment_sync_outdated(s) || s->transfer.conn != NULL ||
+	    (!peers_first && now - s->outdated_since_us < STORE_FIRST_US))
+		return;
+	from = choose_source(s);
+	if (from == NULL)
+		return;
+	if (from->whole_only) {
+		if (!s->opts.store_answers(s->opts.ctx))
+			request_whole(s, from);
+		return;
+	}
+	/* It is not asked again at once if this one brings nothing. */
+	from->not_before_us = now + FAILED_PAUSE_US;
+	s->transfer.start_us = now;
+	log_info(s->opts.process->logger, "deployment asked from a peer",
+	    LF_I("have", deployment_sync_version(s)),
+	    LF_I("seen", from->version), LF_I("whole", 0));
+	request_part(s, from);
+}
+
+/* ---- what peers say ---- */
 
 void
 deployment_sync_fill_versions(void *sync, struct rpc_versions *v)
@@ -123,75 +384,143 @@
 	v->control = 0;
 }
 
+/* A known one, an unused one, or the one with the lowest version. */
+static struct source *
+source_for(struct deployment_sync *s, struct rpc_conn *conn)
+{
+	struct source *oldest = &s->sources[0], *c = find_source(s, conn);
+
+	if (c == NULL)
+		c = find_source(s, NULL);
+	if (c != NULL)
+		return c;
+	for (unsigned i = 1; i < SOURCES_MAX; i++) {
+		if (s->sources[i].version < oldest->version)
+			oldest = &s->sources[i];
+	}
+	return oldest;
+}
+
 void
 deployment_sync_on_peer_versions(
     void *sync, struct rpc_conn *conn, const struct rpc_versions *v)
 {
 	struct deployment_sync *s = sync;
 	uint64_t own = deployment_sync_version(s);
+	struct source *c;
 
-	if (v->config <= own || v->config < s->peer_version)
+	if (v->config <= own)
 		return;
-	if (s->peer_version <= own)
+	if (s->newest <= own)
 		s->outdated_since_us = clock_now(s->opts.process->clock);
-	s->peer_version = v->config;
-	s->peer_conn = conn;
+	if (v->config > s->newest)
+		s->newest = v->config;
+	c = source_for(s, conn);
+	if (c->conn == conn && c->version >= v->config)
+		return;
+	if (c->conn != conn) {
+		if (c->version > v->config && c->conn != NULL)
+			return;
+		memset(c, 0, sizeof(*c));
+		c->conn = conn;
+	}
+	if (c->version < v->config && !c->whole_only)
+		c->not_before_us = 0;
+	c->version = v->config;
+	deployment_sync_tick(s);
 }
 
 void
 deployment_sync_conn_closed(struct deployment_sync *s, struct rpc_conn *conn)
 {
-	if (s->peer_conn == conn)
-		s->peer_conn = NULL;
+	struct source *c = find_source(s, conn);
+
+	if (c != NULL)
+		memset(c, 0, sizeof(*c));
 }
 
-void
-deployment_sync_tick(struct deployment_sync *s)
+/* ---- answering peers ---- */
+
+static void
+handle_get(void *sync, struct rpc_call *call, void *args)
 {
-	int64_t now = clock_now(s->opts.process->clock);
-	struct tm_deployment_ask ask = { deployment_sync_version(s) };
+	struct deployment_sync *s = sync;
+	const struct tm_deployment_get *get = args;
+	struct tm_deployment_part part = { .ver = deployment_sync_version(s) };
+	size_t len = 0;
+	uint64_t id = 0;
+	const char *transfer = NULL;
 
-	if (s->peer_version <= ask.have || s->peer_conn == NULL ||
-	    (ask.have != 0 && now - s->outdated_since_us < REQUEST_DELAY_US) ||
-	    now - s->requested_us < REQUEST_INTERVAL_US)
-		return;
-	s->requested_us = now;
-	log_info(s->opts.process->logger, "deployment asked from a peer",
-	    LF_I("have", ask.have), LF_I("seen", s->peer_version));
-	(void)rpc_conn_send(s->peer_conn, TM_DEPLOYMENT_ASK,
-	    (xdrproc_t)xdr_tm_deployment_ask, &ask);
+	if (part.ver > get->have)
+		transfer = deployment_history_transfer(
+		    s->history, get->base, &len, &id);
+	if (transfer != NULL && len <= get->max) {
+		part.transfer = id;
+		part.total = (u_int)len;
+		if (get->transfer == id && get->from < len)
+			part.from = get->from;
+		part.data.data_val = (char *)transfer + part.from;
+		part.data.data_len = (u_int)len - part.from;
+		if (part.data.data_len > TM_PART_MAX)
+			part.data.data_len = TM_PART_MAX;
+		if (part.from == 0)
+			log_info(s->opts.process->logger,
+			    "deployment sent to a peer",
+			    LF_I("version", part.ver),
+			    LF_I("peer_has", get->have), LF_I("bytes", len));
+	}
+	rpc_call_reply(call, &part);
 }
 
-void
-deployment_sync_handle_ask(void *sync, struct rpc_call *call, void *args)
+/* Of a peer that does not know TM_DEPLOYMENT_GET. */
+static void
+handle_ask(void *sync, struct rpc_call *call, void *args)
 {
 	struct deployment_sync *s = sync;
 	const struct tm_deployment_ask *ask = args;
+	const struct deployment_document *newest =
+	    deployment_history_newest(s->history);
 	struct rpc_conn *conn = rpc_call_conn(call);
 	struct tm_deployment_doc doc = {
 		.ver = deployment_sync_version(s),
-		.doc.doc_val = s->doc,
-		.doc.doc_len = (u_int)s->len,
+		.doc.doc_val = (char *)newest->data,
+		.doc.doc_len = (u_int)newest->len,
 	};
 
 	if (conn == NULL || doc.ver <= ask->have)
 		return;
-	if (s->len > TM_BODY_MAX) {
+	if (newest->len > TM_BODY_MAX) {
 		log_error(s->opts.process->logger,
 		    "deployment is too large to send to a peer",
-		    LF_I("bytes", s->len));
+		    LF_I("bytes", newest->len));
 		return;
 	}
 	log_info(s->opts.process->logger, "deployment sent to a peer",
-	    LF_I("version", doc.ver), LF_I("peer_has", ask->have));
+	    LF_I("version", doc.ver), LF_I("peer_has", ask->have),
+	    LF_I("bytes", newest->len));
 	(void)rpc_conn_send(
 	    conn, TM_DEPLOYMENT, (xdrproc_t)xdr_tm_deployment_doc, &doc);
 }
 
-void
-deployment_sync_handle_doc(void *sync, struct rpc_call *call, void *args)
+static void
+handle_doc(void *sync, struct rpc_call *call, void *args)
 {
 	const struct tm_deployment_doc *msg = args;
 
-	apply_doc(sync, msg->doc.doc_val, msg->doc.doc_len, "peer");
+	apply_peer_document(sync, msg->doc.doc_val, msg->doc.doc_len);
+}
+
+void
+deployment_sync_handlers(struct deployment_sync *s, struct rpc_handler *out)
+{
+	out[0] = (struct rpc_handler){ TM_DEPLOYMENT,
+		(xdrproc_t)xdr_tm_deployment_doc,
+		sizeof(struct tm_deployment_doc), NULL, handle_doc, s };
+	out[1] = (struct rpc_handler){ TM_DEPLOYMENT_ASK,
+		(xdrproc_t)xdr_tm_deployment_ask,
+		sizeof(struct tm_deployment_ask), NULL, handle_ask, s };
+	out[2] = (struct rpc_handler){ TM_DEPLOYMENT_GET,
+		(xdrproc_t)xdr_tm_deployment_get,
+		sizeof(struct tm_deployment_get),
+		(xdrproc_t)xdr_tm_deployment_part, handle_get, s };
 }
--- a/src/coordination/keyed_feed.c
+++ b/src/coordination/keyed_feed.c
@@ -27,6 +27,8 @@
  * falls in between, stays unnoticed until the next check.
  */
 #define FIRST_CHECK_US (300 * USEC_PER_MSEC)
+/* While the feed pauses, the record arrives in another way by then. */
+#define PAUSED_WAIT_US (1 * USEC_PER_SEC)
 
 /* A read in progress. */
 struct feed_read {
@@ -49,6 +51,9 @@
 	struct feed_read *read;
 	struct feed_read *check; /* the newest read's; NULL: none */
 	bool check_failed; /* the last one of the newest read */
+	bool paused;
+	/* Only with newest_only: */
+	bool suspect; /* the last check has shown more than the feed has */
 	struct event *check_timer;
 	LIST_HEAD(, feed_read) reads;
 	struct event *hint_timer;
@@ -56,6 +61,7 @@
 	unsigned hint_reads; /* because of it */
 };
 
+static void add_check_timer(struct keyed_feed *);
 static void on_read(void *, const struct fleet_batch *);
 static void on_page(void *, const struct fleet_batch *);
 static void on_check(void *, const struct fleet_batch *);
@@ -111,6 +117,7 @@
 	f->read = new_read(f);
 	f->check = NULL;
 	f->check_failed = false;
+	f->suspect = false;
 	event_del(f->check_timer);
 	if (f->opts.check && wait_us > 0)
 		process_timer_add(f->check_timer, FIRST_CHECK_US);
@@ -123,11 +130,15 @@
 {
 	struct keyed_feed *f = arg;
 
-	if (f->read == NULL)
+	if (f->read == NULL && !f->paused)
 		return;
 	f->check = new_read(f);
-	f->opts.ops->read(f->opts.store, f->opts.topic, f->next_offset, 0,
-	    on_check, f->check);
+	if (f->opts.newest_only)
+		f->opts.ops->read_end(
+		    f->opts.store, f->opts.topic, on_check, f->check);
+	else
+		f->opts.ops->read(f->opts.store, f->opts.topic, f->next_offset,
+		    0, on_check, f->check);
 }
 
 /* The newest read has ended, or is given up. */
@@ -139,6 +150,24 @@
 	event_del(f->check_timer);
 }
 
+static void
+cancel_read(struct keyed_feed *f, struct feed_read *read)
+{
+	if (read == NULL)
+		return;
+	f->opts.ops->cancel(f->opts.store, read);
+	LIST_REMOVE(read, link);
+	free(read);
+}
+
+static void
+cancel_reads(struct keyed_feed *f)
+{
+	cancel_read(f, f->read);
+	cancel_read(f, f->check);
+	end_read(f);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -146,6 +175,8 @@
 
 	if (!f->complete || f->in_snapshot)
 		start_snapshot(f);
+	else if (f->paused)
+		add_check_timer(f);
 	else
 		start_read(f);
 }
@@ -178,8 +209,49 @@
 void
 keyed_feed_read_again(struct keyed_feed *f)
 {
-	if (f->read != NULL)
-		start_read(f);
+	if (f->read == NULL || keyed_feed_receives(f))
+		return;
+	if (f->opts.newest_only)
+		cancel_reads(f);
+	start_read(f);
+}
+
+bool
+keyed_feed_receives(const struct keyed_feed *f)
+{
+	const void *ctx = f->in_snapshot ? (const void *)f : f->read;
+
+	return ctx != NULL && f->opts.newest_only &&
+	       f->opts.ops->answers(f->opts.store, ctx);
+}
+
+void
+keyed_feed_pause(struct keyed_feed *f, bool pause)
+{
+	if (f->paused == pause)
+		return;
+	f->paused = pause;
+	f->suspect = false;
+	log_info(f->opts.process->logger,
+	    pause ? "feed paused" : "feed goes on", LF_S("feed", f->opts.name),
+	    LF_I("next", f->next_offset));
+	if (!f->complete || f->in_snapshot)
+		return;
+	cancel_reads(f);
+	process_timer_add(f->timer, 0);
+}
+
+void
+keyed_feed_skip(struct keyed_feed *f, uint64_t offset)
+{
+	if (offset <= f->next_offset || !f->complete || f->in_snapshot)
+		return;
+	f->next_offset = offset;
+	f->suspect = false;
+	if (f->read == NULL)
+		return;
+	cancel_reads(f);
+	process_timer_add(f->timer, 0);
 }
 
 void
@@ -271,7 +343,10 @@
 	f->retry_us = RETRY_MIN_US;
 	report_records(f, batch);
 	f->next_offset = batch->next;
-	process_timer_add(f->timer, f->opts.pause_us);
+	if (f->opts.newest_only && batch->end > batch->next + 1)
+		start_snapshot(f); /* all but the last are outdated */
+	else
+		process_timer_add(f->timer, f->opts.pause_us);
 }
 
 static void
@@ -299,9 +374,48 @@
 			      (0.75 + 0.5 * rng_real(&f->rng))));
 }
 
+/* Whether a check shows that the store has more than the feed. */
+static bool
+shows_more(const struct keyed_feed *f, const struct fleet_batch *check)
+{
+	if (check->status == FLEET_EXPIRED)
+		return true;
+	return f->opts.newest_only ? check->end != f->next_offset
+				   : check->count > 0;
+}
+
+/* What the store has more may arrive until the next check. */
+static bool
+may_arrive(struct keyed_feed *f, int64_t wait_us)
+{
+	if (!f->opts.newest_only || f->suspect)
+		return false;
+	f->suspect = true;
+	process_timer_add(f->check_timer, wait_us);
+	return true;
+}
+
+/* The end of the topic while the feed pauses. */
+static void
+apply_paused_check(struct keyed_feed *f, const struct fleet_batch *batch)
+{
+	note_contact(f, batch);
+	if (batch->status != FLEET_OK || !shows_more(f, batch)) {
+		f->suspect = false;
+		add_check_timer(f);
+		return;
+	}
+	if (may_arrive(f, PAUSED_WAIT_US))
+		return;
+	log_warn(f->opts.process->logger, "paused feed is behind",
+	    LF_S("feed", f->opts.name), LF_I("next", f->next_offset),
+	    LF_I("end", batch->end));
+	start_snapshot(f);
+}
+
 /*
  * A failed check leaves the read alone, as a slow store may still answer it.
- * The first one that succeeds after that reads anew.
+ * The first one that succeeds after that reads again.
  */
 static void
 on_check(void *ctx, const struct fleet_batch *batch)
@@ -316,22 +430,37 @@
 	if (!newest)
 		return;
 	f->check = NULL;
+	if (f->paused) {
+		apply_paused_check(f, batch);
+		return;
+	}
 	if (batch->status != FLEET_OK && batch->status != FLEET_EXPIRED) {
 		note_contact(f, batch);
 		f->check_failed = true;
 		add_retry_timer(f, f->check_timer);
 		return;
 	}
-	deaf = batch->count > 0 || batch->status == FLEET_EXPIRED;
+	if (keyed_feed_receives(f))
+		return;
+	deaf = shows_more(f, batch);
 	if (!deaf && !f->check_failed) {
+		f->suspect = false;
 		add_check_timer(f);
 		return;
 	}
+	if (deaf && may_arrive(f, FIRST_CHECK_US))
+		return;
 	log_info(f->opts.process->logger, "read was swallowed",
 	    LF_S("feed", f->opts.name), LF_I("next", f->next_offset),
 	    LF_I("records", batch->count),
 	    LF_I("check_failed", f->check_failed));
-	apply_read(f, batch);
+	if (f->opts.newest_only) {
+		cancel_reads(f);
+		note_contact(f, batch);
+		start_read(f);
+	} else {
+		apply_read(f, batch);
+	}
 	if (f->opts.deaf != NULL)
 		f->opts.deaf(f->opts.ctx);
 }
--- a/src/coordination/keyed_feed.h
+++ b/src/coordination/keyed_feed.h
@@ -12,7 +12,13 @@
  * the feed would miss all records.  Therefore a read that waits is checked by a
  * second one that does not wait: soon after its begin, since a silence swallows
  * the reads that begin in it at all daemons, and from then on at intervals.  If
- * another daemon has read further, the feed reads anew at once.
+ * another daemon has read further, the feed reads again at once.
+ *
+ * In a topic of large records, where only the newest one counts, a check reads
+ * the end of the topic instead of its records, and leaves alone a read whose
+ * answer is on its way; a feed that is several records behind reads a snapshot.
+ * Such a feed can pause while the records arrive in another way.  Meanwhile it
+ * only checks the end of the topic, and reads what does not arrive.
  */
 #ifndef COORDINATION_KEYED_FEED_H
 #define COORDINATION_KEYED_FEED_H
@@ -35,6 +41,7 @@
 	int64_t pause_us; /* between two reads, to combine changes */
 	bool check; /* whether to check reads that wait */
 	int64_t check_pause_us; /* between two checks; 0: only the first */
+	bool newest_only; /* large records, of which only the newest counts */
 	void (*record)(void *ctx, const struct fleet_record *);
 	/*
 	 * Run around the records of a snapshot; keys without a record in it
@@ -66,9 +73,22 @@
 /* Changes check_pause_us, from the next check on. */
 void keyed_feed_set_check_pause(struct keyed_feed *, int64_t us);
 
-/* Reads anew if a read is in progress: the store may have swallowed it. */
+/* Reads again if a read is in progress: the store may have swallowed it. */
 void keyed_feed_read_again(struct keyed_feed *);
 
+/*
+ * Pauses or goes on; only with newest_only, and check_pause_us above 0.  Gives
+ * up a read in progress.
+ */
+void keyed_feed_pause(struct keyed_feed *, bool pause);
+/*
+ * The records before this offset have arrived in another way.  Gives up a read
+ * of them.
+ */
+void keyed_feed_skip(struct keyed_feed *, uint64_t offset);
+/* Whether an answer to a read is on its way, and a part has arrived. */
+bool keyed_feed_receives(const struct keyed_feed *);
+
 /* Offset of the next record to read. */
 uint64_t keyed_feed_next_offset(const struct keyed_feed *);
 /*
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -92,6 +92,10 @@
 	struct rpc_conn *conn;
 	bool connecting;
 	int64_t reconnect_us; /* earliest next attempt */
+	/* Changes of the deployment, see deployment_source.h: */
+	bool follow_sent; /* the sidecar knows whether it is followed */
+	bool followed;
+	bool reads_store; /* a followed sidecar, as it says */
 	SLIST_HEAD(, backend_use) uses;
 	TAILQ_ENTRY(backend) link;
 };
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -21,6 +21,7 @@
 #include "gateway/backends.h"
 #include "gateway/candidates.h"
 #include "gateway/crash_guard.h"
+#include "gateway/deployment_source.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/peer_conns.h"
@@ -39,6 +40,8 @@
  */
 #define CHECK_EVERY_US (750 * USEC_PER_MSEC) /* by any gateway */
 #define CHECK_PAUSE_MIN_US (3 * USEC_PER_SEC) /* by one gateway */
+/* Sidecars check the deployment's topic too, and report what they read. */
+#define DEPLOYMENT_CHECK_FACTOR 2
 #define LONG_POLL_US (25 * USEC_PER_SEC) /* longest wait of a store read */
 /*
  * Pause between two reads of replica entries, so that one call returns the
@@ -144,6 +147,30 @@
 	exchanges_route(g);
 }
 
+static void
+on_deployment_received(void *ctx, uint64_t next)
+{
+	struct gateway *g = ctx;
+
+	keyed_feed_skip(g->deployment_feed, next);
+}
+
+static bool
+store_answers(void *ctx)
+{
+	const struct gateway *g = ctx;
+
+	return keyed_feed_receives(g->deployment_feed);
+}
+
+static bool
+peers_first(void *ctx)
+{
+	const struct gateway *g = ctx;
+
+	return g->deployment_source.peers;
+}
+
 static void
 on_replica_record(void *ctx, const struct fleet_record *record)
 {
@@ -312,6 +339,7 @@
 	deployment_sync_tick(g->deployment_sync);
 	peer_conns_tick(g->peer_conns);
 	sidecar_conns_tick(g->sidecar_conns);
+	deployment_source_tick(g);
 	crash_guard_tick(g->crash_guard);
 	exchanges_reselect(g);
 	if (g->stop_us == 0)
@@ -330,14 +358,25 @@
 	crash_guard_read_again(g->crash_guard);
 }
 
-int64_t
-gateway_check_pause(unsigned gateways)
+static int64_t
+check_pause(enum fleet_topic topic, unsigned gateways)
 {
 	int64_t pause_us = gateways * CHECK_EVERY_US;
 
+	if (topic == FLEET_DEPLOYMENT)
+		pause_us *= DEPLOYMENT_CHECK_FACTOR;
 	return pause_us < CHECK_PAUSE_MIN_US ? CHECK_PAUSE_MIN_US : pause_us;
 }
 
+void
+gateway_set_check_pauses(struct gateway *g, unsigned gateways)
+{
+	keyed_feed_set_check_pause(
+	    g->replica_feed, check_pause(FLEET_REPLICAS, gateways));
+	keyed_feed_set_check_pause(
+	    g->deployment_feed, check_pause(FLEET_DEPLOYMENT, gateways));
+}
+
 static struct keyed_feed *
 create_feed(struct gateway *g, enum fleet_topic topic, const char *name,
     int64_t pause_us, void (*record)(void *, const struct fleet_record *),
@@ -352,8 +391,8 @@
 		.poll_us = LONG_POLL_US,
 		.pause_us = pause_us,
 		.check = true,
-		.check_pause_us =
-		    topic == FLEET_REPLICAS ? gateway_check_pause(1) : 0,
+		.check_pause_us = check_pause(topic, 1),
+		.newest_only = topic == FLEET_DEPLOYMENT,
 		.record = record,
 		.snapshot_begin = begin,
 		.snapshot_end = end,
@@ -387,6 +426,9 @@
 		.process = &g->process,
 		.driver = g->driver,
 		.changed = on_deployment,
+		.received = on_deployment_received,
+		.store_answers = store_answers,
+		.peers_first = peers_first,
 		.ctx = g,
 	};
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -10,6 +10,7 @@
 
 #include "common/process.h"
 #include "common/rng.h"
+#include "coordination/source_choice.h"
 #include "protocol/fleet.h"
 #include "transport/http_client.h"
 
@@ -71,6 +72,7 @@
 	struct keyed_feed *replica_feed;
 	struct deployment_sync *deployment_sync;
 	struct deployment *deployment; /* active; NULL until the first one */
+	struct source_choice deployment_source;
 	struct backends *backends;
 	struct sidecar_conns *sidecar_conns;
 	struct peer_conns *peer_conns;
@@ -103,10 +105,7 @@
  */
 double gateway_retry_burst(const struct gateway *, unsigned gateways);
 
-/*
- * Pause in us between two checks of the replicas' feed by one gateway of so
- * many.
- */
-int64_t gateway_check_pause(unsigned gateways);
+/* Sets the pause between two checks of each feed by one gateway of so many. */
+void gateway_set_check_pauses(struct gateway *, unsigned gateways);
 
 #endif
--- a/src/gateway/peer_conns.c
+++ b/src/gateway/peer_conns.c
@@ -39,7 +39,8 @@
 	bool asking;
 	int64_t asked_us;
 	int64_t store_lost_us; /* since when; 0: the store can be read */
-	struct rpc_handler handlers[4];
+	/* One of this file, those of deployment_sync, and the terminator. */
+	struct rpc_handler handlers[1 + DEPLOYMENT_SYNC_HANDLERS + 1];
 };
 
 /* ---- answering other gateways ---- */
@@ -205,14 +206,7 @@
 	pc->handlers[0] = (struct rpc_handler){ TM_ROSTER,
 		(xdrproc_t)xdr_tm_roster_ask, sizeof(struct tm_roster_ask),
 		(xdrproc_t)xdr_tm_roster_reply, on_replicas_ask, NULL };
-	pc->handlers[1] = (struct rpc_handler){ TM_DEPLOYMENT,
-		(xdrproc_t)xdr_tm_deployment_doc,
-		sizeof(struct tm_deployment_doc), NULL,
-		deployment_sync_handle_doc, sync };
-	pc->handlers[2] = (struct rpc_handler){ TM_DEPLOYMENT_ASK,
-		(xdrproc_t)xdr_tm_deployment_ask,
-		sizeof(struct tm_deployment_ask), NULL,
-		deployment_sync_handle_ask, sync };
+	deployment_sync_handlers(sync, &pc->handlers[1]);
 }
 
 /* Leaves out this gateway's own address; the first seed asked is random. */
--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -15,6 +15,7 @@
 #include "coordination/retry_budget.h"
 #include "gateway/backends.h"
 #include "gateway/crash_guard.h"
+#include "gateway/deployment_source.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/limits.h"
@@ -36,6 +37,7 @@
 static void on_crash(void *, struct rpc_call *, void *);
 static void on_leaves(void *, struct rpc_call *, void *);
 static void on_replicas_read(void *, struct rpc_call *, void *);
+static void on_deployment_state(void *, struct rpc_call *, void *);
 
 static const struct rpc_handler handlers[] = {
 	{ TM_REPLICA_HOLDS, (xdrproc_t)xdr_tm_replica_holds,
@@ -50,6 +52,9 @@
 	    sizeof(struct tm_replica_leaves), NULL, on_leaves, NULL },
 	{ TM_REPLICAS_READ, (xdrproc_t)xdr_tm_replicas_read,
 	    sizeof(struct tm_replicas_read), NULL, on_replicas_read, NULL },
+	{ TM_DEPLOYMENT_STATE, (xdrproc_t)xdr_tm_deployment_state,
+	    sizeof(struct tm_deployment_state), NULL, on_deployment_state,
+	    NULL },
 	{ 0 },
 };
 
@@ -58,7 +63,7 @@
 struct sidecar_conns {
 	struct gateway *gateway;
 	struct rpc *rpc;
-	struct rpc_handler handlers[HANDLERS + 2];
+	struct rpc_handler handlers[HANDLERS + DEPLOYMENT_SYNC_HANDLERS];
 	unsigned gateways; /* most that any sidecar has counted */
 	/* Concurrent weight store loads at full speed, as learned last. */
 	unsigned store_loads_limit;
@@ -115,8 +120,7 @@
 		return;
 	sc->gateways = gateways;
 	backends_divide_connections(g->backends, gateways);
-	keyed_feed_set_check_pause(
-	    g->replica_feed, gateway_check_pause(gateways));
+	gateway_set_check_pauses(g, gateways);
 	if (gateways > g->settings.retry_gateways)
 		retry_budget_set_burst(
 		    g->retry_budget, gateway_retry_burst(g, gateways));
@@ -233,6 +237,15 @@
 	keyed_feed_hint(sc->gateway->replica_feed, msg->next);
 }
 
+static void
+on_deployment_state(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct backend *b = call_backend(call);
+
+	if (b != NULL)
+		deployment_source_on_state(b, arg);
+}
+
 /* ---- connections ---- */
 
 static void
@@ -242,14 +255,7 @@
 	size_t last = HANDLERS - 1;
 
 	memcpy(sc->handlers, handlers, sizeof(handlers));
-	sc->handlers[last++] = (struct rpc_handler){ TM_DEPLOYMENT,
-		(xdrproc_t)xdr_tm_deployment_doc,
-		sizeof(struct tm_deployment_doc), NULL,
-		deployment_sync_handle_doc, sync };
-	sc->handlers[last] = (struct rpc_handler){ TM_DEPLOYMENT_ASK,
-		(xdrproc_t)xdr_tm_deployment_ask,
-		sizeof(struct tm_deployment_ask), NULL,
-		deployment_sync_handle_ask, sync };
+	deployment_sync_handlers(sync, &sc->handlers[last]);
 }
 
 static void
@@ -307,6 +313,7 @@
 	sc = rpc_conn_owner(conn);
 	rpc_conn_set_owner(conn, b);
 	b->conn = conn;
+	deployment_source_on_opened(b);
 	sc->read_conn = NULL;
 	log_info(sc->gateway->process.logger, "sidecar reached",
 	    LF_S("replica", b->entry.id));
--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -233,6 +233,14 @@
 	/* Reads from an offset on; waits up to wait_us for the first record. */
 	void (*read)(void *store, enum fleet_topic, uint64_t from,
 	    int64_t wait_us, fleet_batch_cb *done, void *ctx);
+	/* Reads the end of a keyed topic: a batch without records. */
+	void (*read_end)(
+	    void *store, enum fleet_topic, fleet_batch_cb *done, void *ctx);
+	/* Whether a part of the answer to a pending read has arrived. */
+	bool (*answers)(void *store, const void *ctx);
+	/* Gives up the pending calls with this ctx; their done() does not run.
+	 */
+	void (*cancel)(void *store, const void *ctx);
 	/*
 	 * Appends all of the records or none, if the topic ends at offset `at`
 	 * or that is FLEET_ANY_OFFSET.  Their offsets are ignored.
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -13,6 +13,8 @@
 const TM_SNAPSHOT_CHUNK_MAX = 524288;
 const TM_LIST_MAX = 65536;
 const TM_ID_SIZE = 16;
+const TM_CHANGES_MAX = 64;	/* of a deployment, in one transfer */
+const TM_PART_MAX = 32768;	/* bytes of a transfer in one message */
 
 typedef opaque tm_id[TM_ID_SIZE];
 typedef string tm_name<TM_NAME_MAX>;
@@ -573,7 +575,10 @@
 	tm_model_use uses<TM_LIST_MAX>;
 };
 
-/* One-way, to a peer that announced a newer deployment: requests it. */
+/*
+ * One-way, to a peer that announced a newer deployment: requests the whole of
+ * it.  For peers that do not know TM_DEPLOYMENT_GET.
+ */
 struct tm_deployment_ask {
 	unsigned hyper have;		/* version of the sender */
 };
@@ -584,6 +589,52 @@
 	opaque doc<TM_BODY_MAX>;
 };
 
+/* A document of the deployment, as a difference to an earlier version's. */
+struct tm_deployment_change {
+	unsigned hyper base;		/* XXH3 of the earlier one; 0: none */
+	unsigned hyper hash;		/* XXH3 of the document */
+	unsigned hyper ver;
+	unsigned hyper next;		/* offset after its record in the store */
+	unsigned int size;		/* of the document, bytes */
+	opaque data<TM_RECORD_MAX>;	/* Zstandard frame, the base its prefix */
+};
+
+/* Each but the first is based on the one before it. */
+struct tm_deployment_changes {
+	tm_deployment_change changes<TM_CHANGES_MAX>;
+};
+
+/* Requests a part of an encoded tm_deployment_changes. */
+struct tm_deployment_get {
+	unsigned hyper have;		/* version of the sender; 0: none */
+	unsigned hyper base;		/* XXH3 of its document */
+	unsigned hyper transfer;	/* id of the one to go on with; 0: none */
+	unsigned int from;		/* bytes of it that have arrived */
+	unsigned int max;		/* largest transfer wanted, bytes */
+};
+
+struct tm_deployment_part {
+	unsigned hyper ver;		/* newest of the sender */
+	unsigned hyper transfer;	/* XXH3 of the whole transfer */
+	unsigned int total;		/* bytes of it; 0: none, or above max */
+	unsigned int from;		/* of the data */
+	opaque data<TM_PART_MAX>;
+};
+
+/*
+ * One-way, gateway to sidecar: whether the gateway wants to be told at once of
+ * each new version.  A sidecar that has not been asked tells it with the next
+ * load report, or soon after without one.
+ */
+struct tm_deployment_follow {
+	bool follow;
+};
+
+/* One-way, to gateways that follow; the version is in the header. */
+struct tm_deployment_state {
+	bool current;			/* the sender reads the store */
+};
+
 /* Between gateways: requests the replica records of the platform's store. */
 struct tm_roster_ask {
 	bool have;			/* the sender has some records */
@@ -700,5 +751,8 @@
 		void TM_REPLICAS_READ(tm_replicas_read) = 32;
 		void TM_REPLICA_LEAVES(tm_replica_leaves) = 33;
 		void TM_BACKEND_END(tm_backend_end) = 34;
+		tm_deployment_part TM_DEPLOYMENT_GET(tm_deployment_get) = 35;
+		void TM_DEPLOYMENT_FOLLOW(tm_deployment_follow) = 36;
+		void TM_DEPLOYMENT_STATE(tm_deployment_state) = 37;
 	} = 1;
 } = 0x20746d31;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1378,6 +1378,93 @@
 	return TRUE;
 }
 
+bool_t
+xdr_tm_deployment_change (XDR *xdrs, tm_deployment_change *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->hash))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ver))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->next))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, TM_RECORD_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_deployment_changes (XDR *xdrs, tm_deployment_changes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, TM_CHANGES_MAX,
+		sizeof (tm_deployment_change), (xdrproc_t) xdr_tm_deployment_change))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_deployment_get (XDR *xdrs, tm_deployment_get *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->have))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->transfer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->max))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_deployment_part (XDR *xdrs, tm_deployment_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ver))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->transfer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->total))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, TM_PART_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_deployment_follow (XDR *xdrs, tm_deployment_follow *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->follow))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_tm_deployment_state (XDR *xdrs, tm_deployment_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->current))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_tm_roster_ask (XDR *xdrs, tm_roster_ask *objp)
 {
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -21,6 +21,8 @@
 #define TM_SNAPSHOT_CHUNK_MAX 524288
 #define TM_LIST_MAX 65536
 #define TM_ID_SIZE 16
+#define TM_CHANGES_MAX 64
+#define TM_PART_MAX 32768
 
 typedef char tm_id[TM_ID_SIZE];
 
@@ -680,6 +682,58 @@
 };
 typedef struct tm_deployment_doc tm_deployment_doc;
 
+struct tm_deployment_change {
+	u_quad_t base;
+	u_quad_t hash;
+	u_quad_t ver;
+	u_quad_t next;
+	u_int size;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct tm_deployment_change tm_deployment_change;
+
+struct tm_deployment_changes {
+	struct {
+		u_int changes_len;
+		tm_deployment_change *changes_val;
+	} changes;
+};
+typedef struct tm_deployment_changes tm_deployment_changes;
+
+struct tm_deployment_get {
+	u_quad_t have;
+	u_quad_t base;
+	u_quad_t transfer;
+	u_int from;
+	u_int max;
+};
+typedef struct tm_deployment_get tm_deployment_get;
+
+struct tm_deployment_part {
+	u_quad_t ver;
+	u_quad_t transfer;
+	u_int total;
+	u_int from;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct tm_deployment_part tm_deployment_part;
+
+struct tm_deployment_follow {
+	bool_t follow;
+};
+typedef struct tm_deployment_follow tm_deployment_follow;
+
+struct tm_deployment_state {
+	bool_t current;
+};
+typedef struct tm_deployment_state tm_deployment_state;
+
 struct tm_roster_ask {
 	bool_t have;
 };
@@ -857,6 +911,15 @@
 #define TM_BACKEND_END 34
 extern  void * tm_backend_end_1(tm_backend_end *, CLIENT *);
 extern  void * tm_backend_end_1_svc(tm_backend_end *, struct svc_req *);
+#define TM_DEPLOYMENT_GET 35
+extern  tm_deployment_part * tm_deployment_get_1(tm_deployment_get *, CLIENT *);
+extern  tm_deployment_part * tm_deployment_get_1_svc(tm_deployment_get *, struct svc_req *);
+#define TM_DEPLOYMENT_FOLLOW 36
+extern  void * tm_deployment_follow_1(tm_deployment_follow *, CLIENT *);
+extern  void * tm_deployment_follow_1_svc(tm_deployment_follow *, struct svc_req *);
+#define TM_DEPLOYMENT_STATE 37
+extern  void * tm_deployment_state_1(tm_deployment_state *, CLIENT *);
+extern  void * tm_deployment_state_1_svc(tm_deployment_state *, struct svc_req *);
 extern int tm_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -962,6 +1025,15 @@
 #define TM_BACKEND_END 34
 extern  void * tm_backend_end_1();
 extern  void * tm_backend_end_1_svc();
+#define TM_DEPLOYMENT_GET 35
+extern  tm_deployment_part * tm_deployment_get_1();
+extern  tm_deployment_part * tm_deployment_get_1_svc();
+#define TM_DEPLOYMENT_FOLLOW 36
+extern  void * tm_deployment_follow_1();
+extern  void * tm_deployment_follow_1_svc();
+#define TM_DEPLOYMENT_STATE 37
+extern  void * tm_deployment_state_1();
+extern  void * tm_deployment_state_1_svc();
 extern int tm_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -1043,6 +1115,12 @@
 extern  bool_t xdr_tm_replica_use (XDR *, tm_replica_use*);
 extern  bool_t xdr_tm_deployment_ask (XDR *, tm_deployment_ask*);
 extern  bool_t xdr_tm_deployment_doc (XDR *, tm_deployment_doc*);
+extern  bool_t xdr_tm_deployment_change (XDR *, tm_deployment_change*);
+extern  bool_t xdr_tm_deployment_changes (XDR *, tm_deployment_changes*);
+extern  bool_t xdr_tm_deployment_get (XDR *, tm_deployment_get*);
+extern  bool_t xdr_tm_deployment_part (XDR *, tm_deployment_part*);
+extern  bool_t xdr_tm_deployment_follow (XDR *, tm_deployment_follow*);
+extern  bool_t xdr_tm_deployment_state (XDR *, tm_deployment_state*);
 extern  bool_t xdr_tm_roster_ask (XDR *, tm_roster_ask*);
 extern  bool_t xdr_tm_roster_entry (XDR *, tm_roster_entry*);
 extern  bool_t xdr_tm_roster_reply (XDR *, tm_roster_reply*);
@@ -1130,6 +1208,12 @@
 extern bool_t xdr_tm_replica_use ();
 extern bool_t xdr_tm_deployment_ask ();
 extern bool_t xdr_tm_deployment_doc ();
+extern bool_t xdr_tm_deployment_change ();
+extern bool_t xdr_tm_deployment_changes ();
+extern bool_t xdr_tm_deployment_get ();
+extern bool_t xdr_tm_deployment_part ();
+extern bool_t xdr_tm_deployment_follow ();
+extern bool_t xdr_tm_deployment_state ();
 extern bool_t xdr_tm_roster_ask ();
 extern bool_t xdr_tm_roster_entry ();
 extern bool_t xdr_tm_roster_reply ();
--- a/src/sidecar/gateway_conns.c
+++ b/src/sidecar/gateway_conns.c
@@ -40,6 +40,7 @@
 static void on_prefill_done(void *, struct rpc_call *, void *);
 static void on_crash(void *, struct rpc_call *, void *);
 static void on_leaves(void *, struct rpc_call *, void *);
+static void on_follow(void *, struct rpc_call *, void *);
 
 static const struct rpc_handler handlers[] = {
 	{ TM_REPLICA_USE, (xdrproc_t)xdr_tm_replica_use,
@@ -62,6 +63,8 @@
 	    NULL },
 	{ TM_REPLICA_LEAVES, (xdrproc_t)xdr_tm_replica_leaves,
 	    sizeof(struct tm_replica_leaves), NULL, on_leaves, NULL },
+	{ TM_DEPLOYMENT_FOLLOW, (xdrproc_t)xdr_tm_deployment_follow,
+	    sizeof(struct tm_deployment_follow), NULL, on_follow, NULL },
 	{ 0 },
 };
 
@@ -274,6 +277,52 @@
 	    arg);
 }
 
+/* ---- versions of the deployment ---- */
+
+/* The message's header has the version. */
+static void
+send_state(struct gateway_conns *gws, struct gateway_conn *gw)
+{
+	struct tm_deployment_state msg = { sidecar_reads_store(gws->sidecar) };
+	uint64_t version =
+	    deployment_sync_version(gws->sidecar->deployment_sync);
+
+	if (!gw->follows ||
+	    (gw->state_sent && gw->sent_current == msg.current &&
+		gw->sent_version == version))
+		return;
+	if (rpc_conn_send(gw->conn, TM_DEPLOYMENT_STATE,
+		(xdrproc_t)xdr_tm_deployment_state, &msg) == -1)
+		return;
+	gw->state_sent = true;
+	gw->sent_current = msg.current;
+	gw->sent_version = version;
+}
+
+static void
+on_follow(void *ctx, struct rpc_call *call, void *arg)
+{
+	struct gateway_conns *gws = ctx;
+	struct gateway_conn *gw = gateway_conns_caller(gws, call);
+	const struct tm_deployment_follow *msg = arg;
+
+	if (gw == NULL)
+		return;
+	gw->chooses = true;
+	gw->follows = msg->follow;
+	gw->state_sent = false;
+	send_state(gws, gw);
+}
+
+void
+gateway_conns_send_states(struct gateway_conns *gws)
+{
+	struct gateway_conn *gw;
+
+	TAILQ_FOREACH(gw, &gws->list, link)
+		send_state(gws, gw);
+}
+
 /*
  * Every message carries the version, so that a gateway that cannot reach the
  * store learns of a newer deployment.
@@ -289,6 +338,7 @@
 	/* Meanwhile permits expire, and waiting requests become too late. */
 	answer_prefills(gws);
 	gateway_conns_hint_idle(gws);
+	gateway_conns_send_states(gws);
 	if (version != gws->version) {
 		gws->version = version;
 		gws->version_us = now;
@@ -298,7 +348,7 @@
 		return;
 	gws->version_sent = true;
 	TAILQ_FOREACH(gw, &gws->list, link) {
-		if (gw->load_sent_us < gws->version_us)
+		if (!gw->chooses && gw->load_sent_us < gws->version_us)
 			gateway_conn_send_load(gws, gw, &gws->sent_load);
 	}
 }
@@ -312,14 +362,7 @@
 	size_t last = sizeof(handlers) / sizeof(handlers[0]) - 1;
 
 	memcpy(gws->handlers, handlers, sizeof(handlers));
-	gws->handlers[last++] = (struct rpc_handler){ TM_DEPLOYMENT,
-		(xdrproc_t)xdr_tm_deployment_doc,
-		sizeof(struct tm_deployment_doc), NULL,
-		deployment_sync_handle_doc, sync };
-	gws->handlers[last] = (struct rpc_handler){ TM_DEPLOYMENT_ASK,
-		(xdrproc_t)xdr_tm_deployment_ask,
-		sizeof(struct tm_deployment_ask), NULL,
-		deployment_sync_handle_ask, sync };
+	deployment_sync_handlers(sync, &gws->handlers[last]);
 }
 
 static void
--- a/src/sidecar/gateway_conns.h
+++ b/src/sidecar/gateway_conns.h
@@ -26,10 +26,15 @@
  * after each poll of the replica and each change of the deployment.
  */
 void gateway_conns_report(struct gateway_conns *);
+/*
+ * Reports the deployment's version, and whether this sidecar reads the store,
+ * to the gateways that follow it.  Call it after each change of the deployment.
+ */
+void gateway_conns_send_states(struct gateway_conns *);
 /*
  * Answers waiting requests for prefill permits, and announces a new
- * deployment's version to gateways that have had no load report since.  Call it
- * on every tick.
+ * deployment's version: to gateways that follow this sidecar, and to those that
+ * follow none and have had no load report since.  Call it on every tick.
  */
 void gateway_conns_tick(struct gateway_conns *);
 
--- a/src/sidecar/gateway_conns_internal.h
+++ b/src/sidecar/gateway_conns_internal.h
@@ -4,14 +4,15 @@
 
 #include <bsd/sys/queue.h>
 
+#include "coordination/deployment_sync.h"
 #include "coordination/prefill_gate.h"
 #include "protocol/fleet.h"
 #include "protocol/tm_xdr.h"
 #include "sidecar/gateway_conns.h"
 #include "transport/rpc.h"
 
-/* Nine of gateway_conns.c, two of deployment_sync, and the terminator. */
-#define GATEWAY_CONNS_HANDLERS 12
+/* Ten of gateway_conns.c, those of deployment_sync, and the terminator. */
+#define GATEWAY_CONNS_HANDLERS (10 + DEPLOYMENT_SYNC_HANDLERS + 1)
 
 /* A gateway's requests for one model and adapter. */
 struct gateway_use {
@@ -24,6 +25,12 @@
 struct gateway_conn {
 	struct rpc_conn *conn;
 	int64_t load_sent_us; /* of the last load report */
+	bool chooses; /* it has said whether it follows this sidecar */
+	bool follows;
+	/* The last TM_DEPLOYMENT_STATE: */
+	bool state_sent;
+	bool sent_current;
+	uint64_t sent_version;
 	int64_t hint_sent_us; /* that it is behind another gateway */
 	/* How far it has read the replicas' topic; 0: it tells another sidecar.
 	 */
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -83,15 +83,49 @@
 	return s == NULL || !s->has_engine ? NULL : &s->engine;
 }
 
+bool
+sidecar_reads_store(const struct sidecar *sc)
+{
+	return sc->deployment_feed != NULL &&
+	       keyed_feed_complete(sc->deployment_feed) &&
+	       keyed_feed_contact_since(sc->deployment_feed) != -1;
+}
+
 static void
 on_deployment(void *ctx)
 {
 	struct sidecar *sc = ctx;
 
 	sc->deployment = deployment_sync_current(sc->deployment_sync);
+	if (sc->gateway_conns == NULL)
+		return;
+	gateway_conns_send_states(sc->gateway_conns);
 	/* The free memory reported depends on the declared model sizes. */
-	if (sc->gateway_conns != NULL)
-		gateway_conns_report(sc->gateway_conns);
+	gateway_conns_report(sc->gateway_conns);
+}
+
+static void
+on_deployment_received(void *ctx, uint64_t next)
+{
+	struct sidecar *sc = ctx;
+
+	if (sc->deployment_feed != NULL)
+		keyed_feed_skip(sc->deployment_feed, next);
+}
+
+static bool
+store_answers(void *ctx)
+{
+	const struct sidecar *sc = ctx;
+
+	return sc->deployment_feed != NULL &&
+	       keyed_feed_receives(sc->deployment_feed);
+}
+
+static bool
+never(void *ctx)
+{
+	return false;
 }
 
 static void
@@ -190,6 +224,8 @@
 		.topic = FLEET_DEPLOYMENT,
 		.name = "deployment",
 		.poll_us = LONG_POLL_US,
+		.check = true,
+		.newest_only = true,
 		.record = deployment_sync_on_record,
 		.snapshot_begin = ignore_snapshot,
 		.snapshot_end = ignore_snapshot,
@@ -198,6 +234,9 @@
 		.process = &sc->process,
 		.driver = sc->driver,
 		.changed = on_deployment,
+		.received = on_deployment_received,
+		.store_answers = store_answers,
+		.peers_first = never,
 		.ctx = sc,
 	};
 
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -56,6 +56,9 @@
 	int64_t stop_us; /* time of the SIGTERM; 0: not stopping */
 };
 
+/* Whether the deployment comes from the store, which answers. */
+bool sidecar_reads_store(const struct sidecar *);
+
 /*
  * The engine that the active deployment declares for the replica's service;
  * NULL if none.
--- a/test/unit/test_keyed_feed.c
+++ b/test/unit/test_keyed_feed.c
@@ -31,6 +31,10 @@
 	unsigned read_count;
 	unsigned records;
 	unsigned deaf;
+	unsigned snapshots;
+	unsigned cancelled;
+	struct fake_read end_read; /* the last one; done: NULL: none */
+	bool answers; /* the answer to a read is on its way */
 } store;
 
 static void
@@ -39,6 +43,7 @@
 {
 	struct fleet_batch batch = { .status = FLEET_OK, .end = END };
 
+	store.snapshots++;
 	done(ctx, &batch);
 }
 
@@ -51,9 +56,31 @@
 	    (struct fake_read){ from, wait_us, done, ctx };
 }
 
+static void
+fake_read_end(
+    void *arg, enum fleet_topic topic, fleet_batch_cb *done, void *ctx)
+{
+	store.end_read = (struct fake_read){ .done = done, .ctx = ctx };
+}
+
+static bool
+fake_answers(void *arg, const void *ctx)
+{
+	return store.answers;
+}
+
+static void
+fake_cancel(void *arg, const void *ctx)
+{
+	store.cancelled++;
+}
+
 static const struct fleet_store_ops fake_ops = {
 	.snapshot = fake_snapshot,
 	.read = fake_read,
+	.read_end = fake_read_end,
+	.answers = fake_answers,
+	.cancel = fake_cancel,
 };
 
 static void
@@ -108,8 +135,19 @@
 	r->done(r->ctx, &batch);
 }
 
+static void
+answer_end(uint64_t end)
+{
+	struct fleet_batch batch = { .status = FLEET_OK, .end = end };
+	struct fake_read read = store.end_read;
+
+	g_assert_nonnull(read.done);
+	store.end_read.done = NULL;
+	read.done(read.ctx, &batch);
+}
+
 static struct keyed_feed *
-open_feed(bool check, int64_t check_pause_us)
+open_feed_of(bool newest_only, bool check, int64_t check_pause_us)
 {
 	struct process_options process = { .name = "test",
 		.log_levels = "error" };
@@ -119,6 +157,7 @@
 		.poll_us = POLL_US,
 		.check = check,
 		.check_pause_us = check_pause_us,
+		.newest_only = newest_only,
 		.record = on_record,
 		.snapshot_begin = ignore,
 		.snapshot_end = ignore,
@@ -134,6 +173,19 @@
 	return f;
 }
 
+static struct keyed_feed *
+open_feed(bool check, int64_t check_pause_us)
+{
+	return open_feed_of(false, check, check_pause_us);
+}
+
+static void
+close_feed(struct keyed_feed *f)
+{
+	keyed_feed_destroy(f);
+	process_close(&store.process);
+}
+
 static void
 test_swallowed_read_leaves_feed_deaf(void)
 {
@@ -273,6 +325,98 @@
 	process_close(&store.process);
 }
 
+/* A large record is on its way for longer than until the check. */
+static void
+test_check_requests_record_twice(void)
+{
+	struct keyed_feed *f = open_feed_of(true, true, 0);
+
+	store.answers = true;
+	run_loop(400 * USEC_PER_MSEC);
+	answer_end(END + 1);
+	run_loop(400 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 1);
+	keyed_feed_read_again(f);
+	g_assert_cmpuint(store.read_count, ==, 1);
+	g_assert_cmpuint(store.cancelled, ==, 0);
+	close_feed(f);
+}
+
+/* The read was swallowed: the store has a record, and nothing arrives. */
+static void
+test_swallowed_read_of_large_record(void)
+{
+	struct keyed_feed *f = open_feed_of(true, true, 0);
+
+	run_loop(400 * USEC_PER_MSEC);
+	answer_end(END + 1);
+	g_assert_cmpuint(store.read_count, ==, 1); /* it may be coming */
+	run_loop(400 * USEC_PER_MSEC);
+	answer_end(END + 1);
+	g_assert_cmpuint(store.read_count, ==, 2);
+	g_assert_cmpuint(store.reads[1].from, ==, END);
+	close_feed(f);
+}
+
+/* Only the newest of several large records counts. */
+static void
+test_reads_outdated_records(void)
+{
+	struct keyed_feed *f = open_feed_of(true, false, 0);
+	struct fleet_record record = { .offset = END };
+	struct fleet_batch batch = { .status = FLEET_OK,
+		.records = &record,
+		.count = 1,
+		.next = END + 1,
+		.end = END + 3 };
+
+	store.reads[0].done(store.reads[0].ctx, &batch);
+	run_loop(10 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.snapshots, ==, 2);
+	close_feed(f);
+}
+
+static void
+test_paused_feed_reads(void)
+{
+	struct keyed_feed *f = open_feed_of(true, true, 200 * USEC_PER_MSEC);
+
+	keyed_feed_pause(f, true);
+	g_assert_cmpuint(store.cancelled, ==, 1);
+	keyed_feed_skip(f, END + 1);
+	run_loop(400 * USEC_PER_MSEC);
+	answer_end(END + 1);
+	run_loop(400 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 1);
+	keyed_feed_pause(f, false);
+	g_assert_cmpuint(store.cancelled, ==, 2); /* a check */
+	run_loop(10 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.read_count, ==, 2);
+	g_assert_cmpuint(store.reads[1].from, ==, END + 1);
+	/* What arrives in another way ends the read of it. */
+	keyed_feed_skip(f, END + 2);
+	g_assert_cmpuint(store.cancelled, ==, 3);
+	run_loop(10 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.reads[2].from, ==, END + 2);
+	close_feed(f);
+}
+
+/* Nobody brings the record while the feed pauses. */
+static void
+test_paused_feed_stays_behind(void)
+{
+	struct keyed_feed *f = open_feed_of(true, true, 200 * USEC_PER_MSEC);
+
+	keyed_feed_pause(f, true);
+	run_loop(400 * USEC_PER_MSEC);
+	answer_end(END + 1);
+	g_assert_cmpuint(store.snapshots, ==, 1); /* it may be coming */
+	run_loop(1200 * USEC_PER_MSEC);
+	answer_end(END + 1);
+	g_assert_cmpuint(store.snapshots, ==, 2);
+	close_feed(f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -291,5 +435,15 @@
 	    test_lost_answer_leaves_feed_deaf);
 	g_test_add_func(
 	    "/keyed_feed/read_begins_in_silence", test_read_begins_in_silence);
+	g_test_add_func("/keyed_feed/check_requests_record_twice",
+	    test_check_requests_record_twice);
+	g_test_add_func("/keyed_feed/swallowed_read_of_large_record",
+	    test_swallowed_read_of_large_record);
+	g_test_add_func(
+	    "/keyed_feed/reads_outdated_records", test_reads_outdated_records);
+	g_test_add_func(
+	    "/keyed_feed/paused_feed_reads", test_paused_feed_reads);
+	g_test_add_func("/keyed_feed/paused_feed_stays_behind",
+	    test_paused_feed_stays_behind);
 	return g_test_run();
 }
