gateway: no 404 by a deployment that is known to be outdated

Callers saw 404 for a route that had been added, at a gateway that knew that a peer had a newer version and was waiting for it. 404 says that no try will help, and callers do not repeat it.

Change: a request without a route waits while a peer has a newer version, as it does while there is no deployment yet: for a quarter of its time, at most 2.5 s. Then, or if too many wait, it is refused with 503, not run, with a Retry-After.

/config_changes/route_of_version_on_its_way_is_denied: the link lets the document through in a second.

--- a/src/gateway/exchange_start.c
+++ b/src/gateway/exchange_start.c
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "coordination/deployment_sync.h"
 #include "coordination/model_rates.h"
 #include "coordination/retry_budget.h"
 #include "gateway/exchange.h"
@@ -34,7 +35,8 @@
 /*
  * A gateway that starts while neither the store nor a peer has the deployment
  * holds requests for a part of the time until their deadline: most outages of
- * the store end within seconds.
+ * the store end within seconds.  So does one that has no route for a request
+ * while a peer has a newer deployment, which may have added it.
  */
 #define UNROUTED_DEADLINE_DIVISOR 4
 #define UNROUTED_MAX_US (2500 * USEC_PER_MSEC)
@@ -152,6 +154,42 @@
 	    x->deadline_timer, x->deadline_us > now ? x->deadline_us - now : 0);
 }
 
+/* Holds the request until the next deployment arrives or it times out. */
+static void
+wait_for_deployment(struct exchange *x)
+{
+	int64_t wait_us =
+	    (x->deadline_us - x->arrived_us) / UNROUTED_DEADLINE_DIVISOR;
+
+	if (wait_us > UNROUTED_MAX_US)
+		wait_us = UNROUTED_MAX_US;
+	x->gateway->unrouted++;
+	process_timer_add(x->deadline_timer,
+	    x->arrived_us + wait_us - clock_now(x->gateway->process.clock));
+}
+
+static bool
+may_wait_unrouted(const struct gateway *g, struct evhttp_request *req)
+{
+	return g->unrouted < UNROUTED_MAX &&
+	       evbuffer_get_length(evhttp_request_get_input_buffer(req)) <=
+		   UNROUTED_BODY_MAX;
+}
+
+/* No route in the deployment here, which is known to be outdated. */
+static void
+wait_for_route(struct exchange *x)
+{
+	if (!may_wait_unrouted(x->gateway, caller_request(x->caller))) {
+		exchange_refuse(x, RESULT_NOT_READY, "deployment is outdated",
+		    UNROUTED_RETRY_AFTER_US);
+		return;
+	}
+	deployment_unref(x->deployment);
+	x->deployment = NULL;
+	wait_for_deployment(x);
+}
+
 /* Routes the request by the active deployment; may free the exchange. */
 static void
 route_request(struct exchange *x)
@@ -163,6 +201,10 @@
 	x->deployment = deployment_ref(g->deployment);
 	x->route = find_route(x->deployment, req);
 	x->routed_us = clock_now(g->process.clock);
+	if (x->route == NULL && deployment_sync_outdated(g->deployment_sync)) {
+		wait_for_route(x);
+		return;
+	}
 	if (x->route == NULL) {
 		exchange_refuse(x, RESULT_NOT_FOUND, "no route", 0);
 		return;
@@ -179,19 +221,6 @@
 	exchange_dispatch(x);
 }
 
-/* Holds the request until the first deployment arrives or it times out. */
-static void
-wait_for_deployment(struct exchange *x)
-{
-	int64_t wait_us =
-	    (x->deadline_us - x->arrived_us) / UNROUTED_DEADLINE_DIVISOR;
-
-	if (wait_us > UNROUTED_MAX_US)
-		wait_us = UNROUTED_MAX_US;
-	x->gateway->unrouted++;
-	process_timer_add(x->deadline_timer, wait_us);
-}
-
 void
 exchanges_route(struct gateway *g)
 {
@@ -216,7 +245,9 @@
 	struct exchange *x = arg;
 
 	if (x->deployment == NULL)
-		exchange_refuse(x, RESULT_NOT_READY, "no deployment yet",
+		exchange_refuse(x, RESULT_NOT_READY,
+		    x->gateway->deployment == NULL ? "no deployment yet"
+						   : "deployment is outdated",
 		    UNROUTED_RETRY_AFTER_US);
 	else
 		exchange_on_deadline(x);
@@ -255,14 +286,6 @@
 	return x;
 }
 
-static bool
-may_wait_unrouted(const struct gateway *g, struct evhttp_request *req)
-{
-	return g->unrouted < UNROUTED_MAX &&
-	       evbuffer_get_length(evhttp_request_get_input_buffer(req)) <=
-		   UNROUTED_BODY_MAX;
-}
-
 void
 exchange_start(struct gateway *g, struct evhttp_request *req)
 {
--- a/test/process/test_config_changes.c
+++ b/test/process/test_config_changes.c
@@ -130,6 +130,50 @@
 	fleet_stop();
 }
 
+/* The document of MANY_ROUTES, compressed, takes about a second. */
+#define SLOW_LINK_BYTES_PER_S 20000
+
+static bool
+follows_sidecars(void *gateway)
+{
+	return proc_log_contains(gateway, "\"msg\":\"feed paused\"");
+}
+
+static bool
+asks_for_deployment(void *gateway)
+{
+	char *text = g_strdup_printf("\"seen\":%d,", fleet.config_version);
+	bool asks = proc_log_contains(gateway, text);
+
+	g_free(text);
+	return asks;
+}
+
+/* The gateway knows of a newer version, and its document is on its way. */
+static void
+test_route_of_version_on_its_way_is_denied(void)
+{
+	GString *routes = g_string_new("");
+	struct proc *gateway = &fleet.gateways[FLEET_THIN];
+	struct response resp;
+
+	fleet_start_thin_link(SLOW_LINK_BYTES_PER_S);
+	await_true(follows_sidecars, gateway, "gateway follows sidecars");
+	for (int n = 0; n < MANY_ROUTES; n++)
+		add_route(routes, n);
+	fleet_configure(routes->str);
+	await_true(asks_for_deployment, gateway, "gateway asks");
+	(void)fleet_request(&resp, FLEET_THIN, "/r0/1", NULL);
+	g_assert_cmpint(resp.code, ==, 200);
+	response_clear(&resp);
+	/* What no version has is not found, once the gateway has the newest. */
+	(void)fleet_request(&resp, FLEET_THIN, "/nowhere/", NULL);
+	g_assert_cmpint(resp.code, ==, 404);
+	response_clear(&resp);
+	g_string_free(routes, TRUE);
+	fleet_stop();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -138,5 +182,7 @@
 	    test_thin_link_falls_behind);
 	g_test_add_func("/config_changes/change_costs_whole_table",
 	    test_change_costs_whole_table);
+	g_test_add_func("/config_changes/route_of_version_on_its_way_is_denied",
+	    test_route_of_version_on_its_way_is_denied);
 	return g_test_run();
 }
