gateway: one large odd entry no longer keeps the list of replicas from peers

A gateway that starts while the store is down gets the list from another one. If a writer had left an entry of some megabytes there, the answer was larger than a message may be ("reply could not be queued"), the connection was closed, and the gateway never got ready: callers were refused for as long as the store was away.

Change: a gateway keeps for others only records that name a replica, each of at most 16 KiB, and sends as many as fit in a message.

/odd_entries/odd_entry_keeps_list_from_peers: not ready after 30 s on, passes now. Beside it, /odd_entries/odd_entry_ends_daemons and odd_value_ends_gateway pass.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -310,14 +310,14 @@
 	b->expires_us = (since == -1 ? now : since) + grace_us;
 }
 
-void
-backends_record(void *ctx, const struct fleet_record *record)
+bool
+backends_record(struct backends *all, const struct fleet_record *record)
 {
-	struct backends *all = ctx;
 	struct gateway *g = all->gateway;
 	struct replica_entry entry;
 	struct fleet_error err;
 	char id[FLEET_ID_MAX];
+	bool usable = true;
 
 	snprintf(id, sizeof(id), "%.*s", (int)record->key_len, record->key);
 	if (record->len == 0) {
@@ -328,8 +328,10 @@
 	} else {
 		log_warn(g->process.logger, "replica entry ignored",
 		    LF_S("key", id), LF_S("why", err.text));
+		usable = false;
 	}
 	sidecar_conns_refresh(g->sidecar_conns);
+	return usable;
 }
 
 /* Each record of the snapshot resets the expiry of its replica. */
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -108,7 +108,8 @@
  * snapshot has a record for each entry: replicas without one since it began
  * expire after the expiry grace time.
  */
-void backends_record(void *ctx, const struct fleet_record *);
+/* Returns whether the record names or removes a replica. */
+bool backends_record(struct backends *, const struct fleet_record *);
 void backends_snapshot_begin(void *ctx);
 
 /*
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -176,8 +176,8 @@
 {
 	struct gateway *g = ctx;
 
-	replica_records_put(g->replica_records, record);
-	backends_record(g->backends, record);
+	if (backends_record(g->backends, record))
+		replica_records_put(g->replica_records, record);
 }
 
 static void
--- a/src/gateway/peer_conns.c
+++ b/src/gateway/peer_conns.c
@@ -85,7 +85,7 @@
 		record.key_len = strlen(e->key);
 		record.value = (unsigned char *)e->value.value_val;
 		record.len = e->value.value_len;
-		backends_record(g->backends, &record);
+		(void)backends_record(g->backends, &record);
 	}
 }
 
--- a/src/gateway/replica_records.c
+++ b/src/gateway/replica_records.c
@@ -7,6 +7,9 @@
 
 #include "protocol/tm_xdr.h"
 
+#define RECORD_MAX_BYTES 16384
+#define REPLY_MAX_BYTES (4 * 1024 * 1024)
+
 struct stored_record {
 	char *key;
 	unsigned char *value;
@@ -60,7 +63,7 @@
 	HASH_FIND(hh, r->entries, record->key, record->key_len, e);
 	if (e != NULL)
 		remove_record(r, e);
-	if (record->len == 0)
+	if (record->len == 0 || record->len > RECORD_MAX_BYTES)
 		return;
 	e = calloc(1, sizeof(*e));
 	if (e == NULL)
@@ -80,6 +83,7 @@
 {
 	struct stored_record *e, *next;
 	u_int count = 0;
+	size_t bytes = 0;
 
 	out->entries.entries_val = calloc(
 	    HASH_COUNT(r->entries) + 1, sizeof(*out->entries.entries_val));
@@ -88,8 +92,10 @@
 	HASH_ITER(hh, r->entries, e, next) {
 		struct tm_roster_entry *to = &out->entries.entries_val[count];
 
-		if (strlen(e->key) > TM_NAME_MAX || count == TM_LIST_MAX)
+		if (strlen(e->key) > TM_NAME_MAX || count == TM_LIST_MAX ||
+		    bytes + e->len > REPLY_MAX_BYTES)
 			continue; /* no replica has so long an id */
+		bytes += e->len;
 		to->key = e->key;
 		to->value.value_val = (char *)e->value;
 		to->value.value_len = (u_int)e->len;
--- a/test/process/test_odd_entries.c
+++ b/test/process/test_odd_entries.c
@@ -11,6 +11,7 @@
 #include "harness_fleet.h"
 
 #define NESTED 200000 /* levels; parsers that recurse without a limit end */
+#define LARGE_ENTRY (6 * 1024 * 1024) /* bytes */
 
 /* An entry of a plain service with one odd member, at an address of its own. */
 static char *
@@ -186,6 +187,27 @@
 	fleet_stop();
 }
 
+/* A gateway that starts while the store is down asks another one. */
+static void
+test_odd_entry_keeps_list_from_peers(void)
+{
+	char *large = nest("[", LARGE_ENTRY), *text = nest("x", LARGE_ENTRY);
+	char *member = g_strdup_printf("\"note\":\"%s\"", text);
+
+	fleet_start();
+	write_all_odd();
+	write_odd(large);
+	write_odd_member(member);
+	check_list_is_followed();
+	set_faults(fleet.store, "{\"down\": true}");
+	restart_gateway(1);
+	check_requests_are_served();
+	g_free(large);
+	g_free(text);
+	g_free(member);
+	fleet_stop();
+}
+
 /* Values that are not base64, or only its padding. */
 static void
 test_odd_value_ends_gateway(void)
@@ -215,5 +237,7 @@
 	    "/odd_entries/odd_entry_ends_daemons", test_odd_entry_ends_daemons);
 	g_test_add_func(
 	    "/odd_entries/odd_value_ends_gateway", test_odd_value_ends_gateway);
+	g_test_add_func("/odd_entries/odd_entry_keeps_list_from_peers",
+	    test_odd_entry_keeps_list_from_peers);
 	return g_test_run();
 }
