gateway: a refusal that is written once more is not taken for an answer

Another operator's report: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that ran.

It could happen here in two ways. A request that a replica had refused (it had unloaded the model) is sent there again once the model is loaded: the copy names that very request, and the caller got 429 "replica did not run it" while the replica ran it. And a copy without an id was taken for the answer to whatever was due. A copy that names another request was left out before.

Change: a request that goes to the same replica again uses a new connection; a refusal that names no request is no promise, and counts as an answer that was lost.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -177,6 +177,9 @@
 		    LF_S("replica", x->backend->entry.id));
 		return HTTP_RESPONSE_DISCARD;
 	}
+	/* Without an id it may be a refusal of another request. */
+	if (meta.request[0] == '\0')
+		meta.not_run = false;
 	limits_on_answer(x->gateway, x->backend, code, &meta);
 	note_leaving(x, code, &meta);
 	note_quiet(x, code, &meta);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -78,6 +78,9 @@
 	uint64_t last_event_id; /* id of the newest event the caller has */
 	uint64_t tried[EXCHANGE_TRIED_MAX]; /* id hashes of replicas */
 	unsigned tried_count;
+	/* Id hashes of the replicas that the request was sent to. */
+	uint64_t sent_to[EXCHANGE_TRIED_MAX];
+	unsigned sent_count; /* may be larger than the list */
 	/* Of the last replica that refused it as not loaded; 0: none. */
 	uint64_t unloaded;
 	TAILQ_ENTRY(exchange) link;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -6,6 +6,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "gateway/backends.h"
+#include "gateway/candidates.h"
 #include "gateway/crash_guard.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/sidecar_conns.h"
@@ -95,6 +96,22 @@
 	return x->route->rank < URGENCY_MAX ? (int)x->route->rank : URGENCY_MAX;
 }
 
+/* Notes where the request is sent.  Returns whether it was sent there before.
+ */
+static bool
+note_sent(struct exchange *x, const struct backend *b)
+{
+	uint64_t hash = candidates_id_hash(b);
+	bool before = x->sent_count >= EXCHANGE_TRIED_MAX;
+
+	for (unsigned i = 0; !before && i < x->sent_count; i++)
+		before = x->sent_to[i] == hash;
+	if (x->sent_count < EXCHANGE_TRIED_MAX)
+		x->sent_to[x->sent_count] = hash;
+	x->sent_count++;
+	return before;
+}
+
 void
 exchange_send_now(struct exchange *x)
 {
@@ -143,6 +160,11 @@
 	x->has_event = false;
 	x->sent_us = clock_now(g->process.clock);
 	exchange_note_tried(x, b);
+	/*
+	 * A faulty replica may write its last answer on a connection again.
+	 * One to this request could not be told from the answer that is due.
+	 */
+	opts.new_connection = note_sent(x, b);
 	log_info(g->process.logger, "request sent",
 	    LF_S("request", x->params.id), LF_S("replica", b->entry.id),
 	    LF_S("model", x->params.model), LF_I("attempt", x->attempts),
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -125,6 +125,78 @@
 	fleet_stop();
 }
 
+/*
+ * A replica refuses a request and runs it when it is sent there again, but
+ * writes the refusal once more before the answer.
+ */
+static void
+test_repeated_refusal_is_taken_for_answer(void)
+{
+	struct response resp;
+	char *path;
+	int r;
+
+	fleet_start();
+	fleet_write_key("keyed.servers", fleet.engines[0].id, NULL);
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		await_true(has_one_engine, &fleet.gateways[i], "one engine");
+	set_faults(fleet.engines[1].address, "{\"repeat_refusal\": true}");
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		/* Leaves a connection that is kept. */
+		(void)fleet_request(&resp, i, "/stream/1", "m1");
+		response_clear(&resp);
+		unload(&fleet.engines[1], "m1");
+		r = fleet_request(&resp, i, "/stream/1", "m1");
+		g_assert_true(fleet_is_complete_stream(&resp, r));
+		response_clear(&resp);
+		path = g_strdup_printf("/runs/r%d", r);
+		http_call(
+		    &resp, "GET", fleet.engines[1].address, path, NULL, NULL);
+		g_assert_nonnull(strstr(resp.body, "\"runs\":1"));
+		response_clear(&resp);
+		g_free(path);
+	}
+	fleet_stop();
+}
+
+static bool
+has_run(const char *address, int request)
+{
+	char *path = g_strdup_printf("/runs/r%d", request);
+	struct response resp;
+	bool ran;
+
+	http_call(&resp, "GET", address, path, NULL, NULL);
+	ran = strstr(resp.body, "\"runs\":0") == NULL;
+	response_clear(&resp);
+	g_free(path);
+	return ran;
+}
+
+/* The refusal that is written once more does not name its request. */
+static void
+test_anonymous_refusal_is_taken_for_answer(void)
+{
+	const char *service = fleet.services[0].address;
+	struct response resp;
+	int r;
+
+	fleet_start();
+	fleet_write_key("keyed.servers", fleet.services[1].id, NULL);
+	await_true(has_one_engine, &fleet.gateways[0], "one service");
+	set_faults(service, "{\"repeat_refusal\": \"anonymous\"}");
+	for (int i = 0; i < 5; i++) {
+		set_faults(service, "{\"shed\": 1}");
+		(void)fleet_request(&resp, 0, "/book/1", NULL);
+		response_clear(&resp);
+		r = fleet_request(&resp, 0, "/book/1", NULL);
+		if (resp.code == 429 || resp.code == 503)
+			g_assert_false(has_run(service, r));
+		response_clear(&resp);
+	}
+	fleet_stop();
+}
+
 /* Another replica completes a stream that breaks off, in one response. */
 static void
 test_resumes_stream(void)
@@ -718,6 +790,10 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gateway/serves", test_serves);
 	g_test_add_func("/gateway/cold_models", test_cold_models);
+	g_test_add_func("/gateway/repeated_refusal_is_taken_for_answer",
+	    test_repeated_refusal_is_taken_for_answer);
+	g_test_add_func("/gateway/anonymous_refusal_is_taken_for_answer",
+	    test_anonymous_refusal_is_taken_for_answer);
 	g_test_add_func("/gateway/unloaded_model_is_refused",
 	    test_unloaded_model_is_refused);
 	g_test_add_func("/gateway/resumes", test_resumes_stream);
