gateway: what is no event stream does not continue one

Another operator's report: a stream broke off, the next server answered with an error, and clients found its text in the middle of their stream, or a stream that ended as if it were complete.

Here errors (300 and above) ended the response as cut off. A success that is no event stream, whose text looks like an event, was relayed into the stream, which then ended as complete.

Change: an answer is relayed event by event only if its type is text/event-stream; what continues a stream must be one, or counts as a lost answer.

/gateway/error_within_stream: continuations answered with 200, 201, 302, 400, 404, 500 and 503 by all replicas.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -161,6 +161,16 @@
 	    clock_now(g->process.clock));
 }
 
+static bool
+is_event_stream(const struct evkeyvalq *headers)
+{
+	static const char type[] = "text/event-stream";
+	const char *value =
+	    evhttp_find_header((struct evkeyvalq *)headers, "Content-Type");
+
+	return value != NULL && strncasecmp(value, type, strlen(type)) == 0;
+}
+
 enum http_response_verdict
 exchange_on_headers(void *ctx, int code, struct evkeyvalq *headers)
 {
@@ -186,7 +196,7 @@
 	x->code = code;
 	x->meta = meta;
 	x->relaying = x->route->kind == ROUTE_STREAM && code >= 200 &&
-		      code < 300 && meta.sealed;
+		      code < 300 && meta.sealed && is_event_stream(headers);
 	if (x->response_begun)
 		return HTTP_RESPONSE_ACCEPT; /* the caller has headers */
 	evhttp_clear_headers(&x->headers);
@@ -253,16 +263,6 @@
 	}
 }
 
-static bool
-is_event_stream(const struct evkeyvalq *headers)
-{
-	static const char type[] = "text/event-stream";
-	const char *value =
-	    evhttp_find_header((struct evkeyvalq *)headers, "Content-Type");
-
-	return value != NULL && strncasecmp(value, type, strlen(type)) == 0;
-}
-
 /*
  * Whether the replica broke its stream off although the framing is complete.
  * body: what has not been relayed of it.
@@ -395,7 +395,7 @@
 		    x->backend, !x->ended_by_close);
 	}
 	exchange_release(x);
-	if (x->response_begun && !ok) {
+	if (x->response_begun && !x->relaying) {
 		retry_or_fail(x, "stream could not be resumed");
 	} else if (x->relaying) {
 		finish_stream(x);
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -253,6 +253,35 @@
 	fleet_stop();
 }
 
+/*
+ * A stream breaks off, and the replica that should continue it answers with an
+ * error or with something else than a stream.
+ */
+static void
+test_error_within_stream(void)
+{
+	static const int codes[] = { 200, 201, 302, 400, 404, 500, 503 };
+	struct response resp;
+	char *fault;
+
+	fleet_start();
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++) {
+		(void)run_streams(REQUESTS_FOR_RETRY_BUDGET);
+		fault = g_strdup_printf(
+		    "{\"cut_after\": 3, \"resume_code\": %d}", codes[i]);
+		fleet_set_faults(fleet.engines, FLEET_ENGINES, fault);
+		g_free(fault);
+		(void)fleet_request(&resp, 0, "/stream/1", "m1");
+		g_test_message("%d: %s", codes[i], resp.body);
+		g_assert_true(resp.cut);
+		g_assert_true(g_str_has_suffix(resp.body, "-3\n\n"));
+		response_clear(&resp);
+		fleet_set_faults(fleet.engines, FLEET_ENGINES,
+		    "{\"cut_after\": 0, \"resume_code\": 0}");
+	}
+	fleet_stop();
+}
+
 /* An unsafe request isn't retried if it may have run. */
 static void
 test_runs_once(void)
@@ -799,6 +828,8 @@
 	g_test_add_func("/gateway/resumes", test_resumes_stream);
 	g_test_add_func("/gateway/broken_off_stream_looks_complete",
 	    test_broken_off_stream_looks_complete);
+	g_test_add_func(
+	    "/gateway/error_within_stream", test_error_within_stream);
 	g_test_add_func("/gateway/runs_once", test_runs_once);
 	g_test_add_func("/gateway/refusals", test_refusals);
 	g_test_add_func("/gateway/silent_replica", test_silent_replica);
