transport, gateway: a stop closes no connection on which a request has arrived

Cause, from the gateway's lines: at 29.3 s, 2.5 s after SIGTERM, it shut down the reading side of the connections that it took for idle. Four requests had arrived there and were read afterwards, as the loop was busy with a deployment. At 29.419 s all four ended with "caller left": the watch for callers that leave saw the end of file that the gateway had made itself. And a connection that had received a part of a request counted as idle, so that the rest met a closed one.

Change: a connection is idle only if no byte of a request has arrived there, read or unread; the end of file that this side made is not taken for a caller's; a stopping gateway waits for requests that have arrived in part, within its drain time.

/close_idle/*: before, the unread request is lost, and those in parts; now all are answered (also with the sanitizers), and idle connections still closed.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -322,7 +322,7 @@
 		exchanges_answer_all(g);
 	if (since < STOP_MIN_US)
 		return;
-	if (g->open_responses > 0 &&
+	if ((g->open_responses > 0 || http_server_receives(g->caller_http)) &&
 	    since < g->settings.drain_ms * USEC_PER_MSEC - 2 * TICK_US)
 		return;
 	log_info(g->process.logger, "stopped", LF_I("open", g->open_responses));
--- a/src/transport/http_conns.c
+++ b/src/transport/http_conns.c
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -20,12 +21,18 @@
 	struct timeval idle_since; /* accept, or end of the last response */
 	bool had_request; /* a complete request has arrived */
 	bool in_request; /* its response is pending */
+	bool received; /* bytes of the next request have arrived */
+	size_t buffered; /* bytes that evhttp has not parsed yet */
+	struct evbuffer *input; /* a key only: it may have been freed */
+	bool shut; /* its reading side, by http_conns */
 	UT_hash_handle hh;
+	UT_hash_handle hh_input;
 };
 
 struct http_conns {
 	struct http_conns_options opts;
 	struct conn *conns; /* by descriptor */
+	struct conn *by_input;
 	struct bufferevent **unregistered; /* their descriptor isn't set yet */
 	size_t unregistered_count;
 	size_t unregistered_size;
@@ -38,23 +45,94 @@
 	uint64_t *timed_out;
 };
 
+static bool
+conn_is_open(const struct conn *conn)
+{
+	struct sockaddr_storage peer;
+	socklen_t len = sizeof(peer);
+
+	memset(&peer, 0, sizeof(peer));
+	return getpeername(conn->fd, (struct sockaddr *)&peer, &len) == 0 &&
+	       memcmp(&peer, &conn->peer, sizeof(peer)) == 0;
+}
+
+static struct conn *
+find_by_input(struct http_conns *c, struct evbuffer *input)
+{
+	struct conn *conn;
+
+	HASH_FIND(hh_input, c->by_input, &input, sizeof(input), conn);
+	return conn;
+}
+
+/* Runs for each change of an input buffer; the connection may be removed. */
+static void
+on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct conn *conn = find_by_input(arg, in);
+
+	if (conn == NULL)
+		return;
+	conn->buffered = info->orig_size + info->n_added - info->n_deleted;
+	if (info->n_added > 0)
+		conn->received = true;
+}
+
+static void
+unwatch_input(struct http_conns *c, struct conn *conn)
+{
+	if (conn->input != NULL)
+		HASH_DELETE(hh_input, c->by_input, conn);
+	conn->input = NULL;
+}
+
+static void
+watch_input(struct http_conns *c, struct conn *conn, struct evbuffer *input)
+{
+	struct conn *former = find_by_input(c, input);
+
+	if (former != NULL)
+		unwatch_input(c, former);
+	conn->input = input;
+	conn->buffered = evbuffer_get_length(input);
+	conn->received = conn->buffered > 0;
+	HASH_ADD(hh_input, c->by_input, input, sizeof(input), conn);
+	(void)evbuffer_add_cb(input, on_input, c);
+}
+
 static void
 conn_remove(struct http_conns *c, struct conn *conn)
 {
+	unwatch_input(c, conn);
 	HASH_DEL(c->conns, conn);
 	free(conn);
 	*c->open_conns = (int64_t)HASH_COUNT(c->conns);
 }
 
 static bool
-conn_is_open(const struct conn *conn)
+conn_has_unread(const struct conn *conn)
 {
-	struct sockaddr_storage peer;
-	socklen_t len = sizeof(peer);
+	char byte;
 
-	memset(&peer, 0, sizeof(peer));
-	return getpeername(conn->fd, (struct sockaddr *)&peer, &len) == 0 &&
-	       memcmp(&peer, &conn->peer, sizeof(peer)) == 0;
+	return recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+}
+
+/* Whether a request, or a part of one, has arrived without its response. */
+static bool
+conn_has_request(const struct conn *conn)
+{
+	return conn->in_request || conn->received || conn_has_unread(conn);
+}
+
+/*
+ * evhttp reads an end of file and frees its object, after the response to a
+ * request that arrives just now.
+ */
+static void
+conn_close(struct conn *conn)
+{
+	conn->shut = true;
+	(void)shutdown(conn->fd, SHUT_RD);
 }
 
 static bool
@@ -64,7 +142,7 @@
 					    : c->opts.timeouts.first_request_us;
 	struct timeval now, age;
 
-	if (conn->in_request || wait_us == 0)
+	if (conn->in_request || conn->shut || wait_us == 0)
 		return false;
 	event_base_gettimeofday_cached(c->opts.base, &now);
 	evutil_timersub(&now, &conn->idle_since, &age);
@@ -80,11 +158,10 @@
 	HASH_ITER(hh, c->conns, conn, next) {
 		if (!conn_is_open(conn)) {
 			conn_remove(c, conn);
-		} else if (conn_is_timed_out(c, conn)) {
+		} else if (conn_is_timed_out(c, conn) &&
+			   !conn_has_unread(conn)) {
 			(*c->timed_out)++;
-			/* evhttp reads an end of file and frees its object. */
-			(void)shutdown(conn->fd, SHUT_RDWR);
-			conn_remove(c, conn);
+			conn_close(conn);
 		}
 	}
 }
@@ -146,6 +223,7 @@
 	if (conn == NULL)
 		abort();
 	conn->fd = fd;
+	watch_input(c, conn, bufferevent_get_input(bev));
 	(void)getpeername(fd, (struct sockaddr *)&conn->peer, &len);
 	event_base_gettimeofday_cached(c->opts.base, &conn->idle_since);
 	HASH_ADD_INT(c->conns, fd, conn);
@@ -199,6 +277,7 @@
 	if (conn == NULL)
 		return;
 	conn->in_request = false;
+	conn->received = conn->buffered > 0;
 	event_base_gettimeofday_cached(c->opts.base, &conn->idle_since);
 }
 
@@ -215,9 +294,33 @@
 	struct conn *conn, *next;
 
 	HASH_ITER(hh, c->conns, conn, next) {
-		if (!conn->in_request && conn_is_open(conn))
-			(void)shutdown(conn->fd, SHUT_RD);
+		if (!conn_is_open(conn))
+			conn_remove(c, conn);
+		else if (!conn->shut && !conn_has_request(conn))
+			conn_close(conn);
+	}
+}
+
+bool
+http_conns_is_shut(const struct http_conns *c, evutil_socket_t fd)
+{
+	const struct conn *conn;
+
+	HASH_FIND_INT(c->conns, &fd, conn);
+	return conn != NULL && conn->shut;
+}
+
+bool
+http_conns_receive(const struct http_conns *c)
+{
+	const struct conn *conn;
+
+	for (conn = c->conns; conn != NULL; conn = conn->hh.next) {
+		if (!conn->in_request && conn_is_open(conn) &&
+		    conn_has_request(conn))
+			return true;
 	}
+	return false;
 }
 
 struct http_conns *
--- a/src/transport/http_conns.h
+++ b/src/transport/http_conns.h
@@ -58,9 +58,16 @@
     struct http_conns *, const struct http_conns_timeouts *);
 
 /*
- * Closes the connections without a pending request: it shuts down their reading
- * side, so that evhttp reads an end of file and closes them.
+ * Closes the connections without a pending request, also in part, and without
+ * bytes that have not been read.
  */
 void http_conns_close_idle(struct http_conns *);
+/*
+ * Whether this side has shut the connection's reading side down, so that the
+ * end of file on it does not come from the peer.
+ */
+bool http_conns_is_shut(const struct http_conns *, evutil_socket_t fd);
+/* Whether a part of a request has arrived on a connection, not all of it. */
+bool http_conns_receive(const struct http_conns *);
 
 #endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -39,6 +39,7 @@
 };
 
 struct http_close_watch {
+	struct http_server *server;
 	struct event *event;
 	void (*on_disconnect)(void *);
 	void *ctx;
@@ -250,6 +251,12 @@
 	http_conns_close_idle(server->conns);
 }
 
+bool
+http_server_receives(const struct http_server *server)
+{
+	return http_conns_receive(server->conns);
+}
+
 void
 http_server_set_timeouts(
     struct http_server *server, const struct http_conns_timeouts *timeouts)
@@ -316,7 +323,8 @@
 	struct http_close_watch *watch = arg;
 
 	event_del(watch->event);
-	watch->on_disconnect(watch->ctx);
+	if (!http_conns_is_shut(watch->server->conns, fd))
+		watch->on_disconnect(watch->ctx);
 }
 
 /*
@@ -334,6 +342,7 @@
 
 	if (watch == NULL)
 		abort();
+	watch->server = server;
 	watch->on_disconnect = on_disconnect;
 	watch->ctx = ctx;
 	watch->event = event_new(server->opts.base, bufferevent_getfd(bev),
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -65,8 +65,12 @@
 /* Listens on IP:PORT.  Returns 0, or -1 on error. */
 int http_server_listen(struct http_server *, const char *address);
 void http_server_stop_listening(struct http_server *);
-/* Closes keep-alive connections without a pending request. */
+/*
+ * Closes keep-alive connections without a pending request, or a part of one.
+ */
 void http_server_close_idle(struct http_server *);
+/* Whether a part of a request has arrived on a connection, not all of it. */
+bool http_server_receives(const struct http_server *);
 /* Applies to open connections too. */
 void http_server_set_timeouts(
     struct http_server *, const struct http_conns_timeouts *);
