common, coordination: further SIGTERMs cost a stopping daemon nothing

Traced: the handler of each signal writes to the loop's socket, and the next signal is there when it returns, so that hardly anything else runs.

Change: the first SIGTERM or SIGINT ignores further ones, instead of the end of the process; the kernel then discards them.

--- a/src/common/process.c
+++ b/src/common/process.c
@@ -17,10 +17,12 @@
 {
 	struct process *p = arg;
 
-	if (sig == SIGHUP)
+	if (sig == SIGHUP) {
 		p->opts.reload(p->opts.ctx);
-	else
-		p->opts.stop(p->opts.ctx);
+		return;
+	}
+	process_ignore_stop(p->signals);
+	p->opts.stop(p->opts.ctx);
 }
 
 /* A stalled reader of standard output costs log lines, not requests. */
@@ -69,21 +71,38 @@
 	return 0;
 }
 
-void
-process_free_signals(struct event *events[PROCESS_SIGNALS])
+/* Libevent restores the default action with the end of the event. */
+static void
+ignore_signal(int number, struct event *event)
 {
 	sigset_t set, old;
 
 	sigemptyset(&set);
-	for (int i = 0; i < PROCESS_SIGNALS; i++)
-		sigaddset(&set, signals[i]);
+	sigaddset(&set, number);
 	sigprocmask(SIG_BLOCK, &set, &old);
+	if (event != NULL)
+		event_del(event);
+	(void)signal(number, SIG_IGN);
+	sigprocmask(SIG_SETMASK, &old, NULL);
+}
+
+void
+process_ignore_stop(struct event *events[PROCESS_SIGNALS])
+{
 	for (int i = 0; i < PROCESS_SIGNALS; i++) {
+		if (signals[i] != SIGHUP)
+			ignore_signal(signals[i], events[i]);
+	}
+}
+
+void
+process_free_signals(struct event *events[PROCESS_SIGNALS])
+{
+	for (int i = 0; i < PROCESS_SIGNALS; i++) {
+		ignore_signal(signals[i], events[i]);
 		if (events[i] != NULL)
-			event_free(events[i]); /* restores the default action */
-		(void)signal(signals[i], SIG_IGN);
+			event_free(events[i]);
 	}
-	sigprocmask(SIG_SETMASK, &old, NULL);
 }
 
 void
--- a/src/common/process.h
+++ b/src/common/process.h
@@ -47,6 +47,11 @@
  * it has closed what it holds.
  */
 void process_free_signals(struct event *signals[PROCESS_SIGNALS]);
+/*
+ * Ignores SIGTERM and SIGINT from now on: handling further ones would only take
+ * time from the work that is being finished.
+ */
+void process_ignore_stop(struct event *signals[PROCESS_SIGNALS]);
 
 /*
  * Creates a one-shot timer of the event loop, not started; freed by
--- a/src/coordination/daemon.c
+++ b/src/coordination/daemon.c
@@ -264,6 +264,7 @@
 	struct daemon_impl *d = arg;
 
 	if (sig != SIGHUP) {
+		process_ignore_stop(d->signals);
 		begin_leaving(d);
 		return;
 	}
