--- a/src/agent/execute.c
+++ b/src/agent/execute.c
@@ -13,7 +13,8 @@
 #include "common/trace.h"
 #include "coordination/loader.h"
 
-/* Jobs that are lost with one end of the backend server are told at once. */
+/* Jobs that are lost with one end of the backend server are reported at once.
+ */
 #define SAME_END_US (50 * USEC_PER_MSEC)
 
 static enum result
--- a/src/coordination/crash_log.h
+++ b/src/coordination/crash_log.h
@@ -5,7 +5,7 @@
  * Every entry reads the stream from its oldest record on, so that one that
  * starts knows what the others do.  Records are rare.  One that cannot be
  * appended is left out: what it says is known at this entry, and the next loss
- * tells again.
+ * reports again.
  */
 #ifndef COORDINATION_CRASH_LOG_H
 #define COORDINATION_CRASH_LOG_H
--- a/src/coordination/daemon.c
+++ b/src/coordination/daemon.c
@@ -143,7 +143,7 @@
 }
 
 static void
-handle_list_news(void *ctx, struct rpc_call *call, void *arg)
+handle_list_update(void *ctx, struct rpc_call *call, void *arg)
 {
 	vm_list_sync_handle_announcement(
 	    impl(ctx)->vm_list_sync, rpc_call_conn(call), arg);
@@ -195,7 +195,8 @@
 	{ TM_LEAVING, CODEC(tm_leaving), NULL, handle_leaving, NULL },
 	{ TM_TRACE, CODEC(tm_trace_args), (xdrproc_t)xdr_tm_trace_reply,
 	    handle_trace, NULL },
-	{ TM_LIST_NEWS, CODEC(tm_list_news), NULL, handle_list_news, NULL },
+	{ TM_LIST_UPDATE, CODEC(tm_list_update), NULL, handle_list_update,
+	    NULL },
 	{ TM_LIST_PULL, xdr_nothing, 0, (xdrproc_t)xdr_tm_list_reply,
 	    handle_list_pull, NULL },
 };
--- a/src/coordination/limit_meter.h
+++ b/src/coordination/limit_meter.h
@@ -17,7 +17,7 @@
 struct limit_meter;
 
 /* What an answer of a replica has said. */
-struct limit_news {
+struct limit_update {
 	const char *replica; /* id */
 	uint64_t born_ms; /* start of its incarnation */
 	double per_s; /* requests a second, of all gateways; 0: no limit */
@@ -29,25 +29,25 @@
 
 /* Returns whether this changes the replica's limit. */
 bool limit_meter_note(
-    struct limit_meter *, const struct limit_news *, int64_t now_us);
+    struct limit_meter *, const struct limit_update *, int64_t now_us);
 
 /* The answer to a request for a place. */
 struct limit_place {
 	bool granted;
 	int64_t at_us; /* when it may be sent, or the next one could be */
-	struct limit_news newest; /* what is known of the replica now */
-	bool changed; /* the news changed the replica's limit */
+	struct limit_update newest; /* what is known of the replica now */
+	bool changed; /* the update changed the replica's limit */
 };
 
 /*
- * Places a request to the replica of the news, which are noted first: now, or
+ * Places a request to the replica of the update, which is noted first: now, or
  * at most ahead_us later; at any time if the replica has no limit.
  */
 struct limit_place limit_meter_take(struct limit_meter *,
-    const struct limit_news *, int64_t now_us, int64_t ahead_us);
+    const struct limit_update *, int64_t now_us, int64_t ahead_us);
 
 /* Calls each() for every limit in force. */
 void limit_meter_list(const struct limit_meter *,
-    void (*each)(void *ctx, const struct limit_news *), void *ctx);
+    void (*each)(void *ctx, const struct limit_update *), void *ctx);
 
 #endif
--- a/src/coordination/vm_list_sync.c
+++ b/src/coordination/vm_list_sync.c
@@ -39,7 +39,7 @@
 on_list_changed(void *ctx)
 {
 	struct vm_list_sync *s = ctx;
-	struct tm_list_news msg = {
+	struct tm_list_update msg = {
 		.digest = membership_list_digest(s->opts.membership),
 		.age_us = list_age(s),
 	};
@@ -47,7 +47,7 @@
 
 	while ((conn = rpc_next_conn(s->opts.rpc, conn)) != NULL)
 		(void)rpc_conn_send(
-		    conn, TM_LIST_NEWS, (xdrproc_t)xdr_tm_list_news, &msg);
+		    conn, TM_LIST_UPDATE, (xdrproc_t)xdr_tm_list_update, &msg);
 }
 
 struct vm_list_sync *
@@ -104,7 +104,7 @@
 
 void
 vm_list_sync_handle_announcement(struct vm_list_sync *s, struct rpc_conn *conn,
-    const struct tm_list_news *msg)
+    const struct tm_list_update *msg)
 {
 	int64_t as_of = clock_now(s->opts.clock) - (int64_t)msg->age_us;
 
--- a/src/coordination/vm_list_sync.h
+++ b/src/coordination/vm_list_sync.h
@@ -17,7 +17,7 @@
 struct rpc;
 struct rpc_call;
 struct rpc_conn;
-struct tm_list_news;
+struct tm_list_update;
 struct vm_list_sync;
 
 struct vm_list_sync_options {
@@ -30,9 +30,9 @@
 struct vm_list_sync *vm_list_sync_create(const struct vm_list_sync_options *);
 void vm_list_sync_destroy(struct vm_list_sync *);
 
-/* Handler of TM_LIST_NEWS, an announcement: pulls the list if it is newer. */
+/* Handler of TM_LIST_UPDATE, an announcement: pulls the list if it is newer. */
 void vm_list_sync_handle_announcement(
-    struct vm_list_sync *, struct rpc_conn *, const struct tm_list_news *);
+    struct vm_list_sync *, struct rpc_conn *, const struct tm_list_update *);
 /* Handler of TM_LIST_PULL: replies with this daemon's list. */
 void vm_list_sync_handle_pull(struct vm_list_sync *, struct rpc_call *);
 
--- a/src/entry/crash_bar.c
+++ b/src/entry/crash_bar.c
@@ -22,7 +22,7 @@
 #define TRIAL_RECORD_US (2 * USEC_PER_SEC)
 #define TRIAL_HELD_US (5 * USEC_PER_SEC)
 #define TRIAL_RETRY_US (500 * USEC_PER_MSEC)
-/* Several entries may know that a job is sound: the first one tells. */
+/* Several entries may know that a job is sound: the first one reports it. */
 #define ANSWERED_SPREAD_US (300 * USEC_PER_MSEC)
 #define JOB_TEXT_SIZE 17 /* bytes, with the NUL */
 
@@ -42,7 +42,7 @@
 	uint64_t trial_job;
 	unsigned trial_number;
 	int64_t trial_us; /* when it was appended or granted */
-	/* A job that is known to be sound here, to be told. */
+	/* A job that is known to be sound here, to be reported. */
 	uint64_t sound; /* 0: none */
 	struct event *sound_timer;
 };
@@ -118,7 +118,7 @@
 	    clock_timeval((int64_t)rng_below(&bar->rng, ANSWERED_SPREAD_US));
 
 	if (bar->sound != 0)
-		return; /* the next loss of this job tells it again */
+		return; /* the next loss of this job reports it again */
 	bar->sound = job;
 	evtimer_add(bar->sound_timer, &tv);
 }
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -23,7 +23,7 @@
 /* For the request that a trial was recorded for, to be sent. */
 #define TRIAL_HELD_US (5 * USEC_PER_SEC)
 #define CLAIM_RETRY_US (500 * USEC_PER_MSEC)
-/* Several gateways may know that a part is sound: the first one tells. */
+/* Several gateways may know that a part is sound: the first one reports it. */
 #define CLEAR_SPREAD_US (300 * USEC_PER_MSEC)
 /* A crash shows within this time, as other requests fail there. */
 #define OUTLIVE_US (1 * USEC_PER_SEC)
@@ -167,10 +167,10 @@
 	log_changes(cg);
 }
 
-/* ---- news of other gateways, by way of a sidecar ---- */
+/* ---- reports of other gateways, by way of a sidecar ---- */
 
 void
-crash_guard_on_news(struct crash_guard *cg, const struct tm_crash *msg)
+crash_guard_on_report(struct crash_guard *cg, const struct tm_crash *msg)
 {
 	const struct crash_loss loss = { .part = msg->part,
 		.incarnation = msg->incarnation,
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -41,8 +41,8 @@
 bool crash_guard_suspects(
     const struct crash_guard *, const struct request_params *);
 
-/* News of another gateway, by way of a sidecar. */
-void crash_guard_on_news(struct crash_guard *, const struct tm_crash *);
+/* A report of another gateway, by way of a sidecar. */
+void crash_guard_on_report(struct crash_guard *, const struct tm_crash *);
 
 /*
  * Whether the request may be sent.  CRASH_TRIAL: a trial is being recorded, ask
--- a/src/gateway/exchange_limit.c
+++ b/src/gateway/exchange_limit.c
@@ -92,7 +92,7 @@
 		exchange_send_now(x);
 		return;
 	}
-	limits_on_news(g, &reply->newest);
+	limits_on_update(g, &reply->newest);
 	if (reply->granted) {
 		use_place(x, now + reply->wait_us);
 		return;
@@ -121,7 +121,7 @@
 
 	if (!limits_has_meter(g, b, clock_now(g->process.clock)))
 		return false;
-	limits_fill_news(g, b, &args.known);
+	limits_fill_update(g, b, &args.known);
 	x->limit_conn = sidecar_conns_take_limit(
 	    g->sidecar_conns, b, &args, METER_TIMEOUT_US, on_taken, x);
 	return x->limit_conn != NULL;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -162,7 +162,7 @@
 	exchange_note_tried(x, b);
 	/*
 	 * A faulty replica may write its last answer on a connection again.
-	 * One to this request could not be told from the answer that is due.
+	 * A copy for this request would look like the answer that is due.
 	 */
 	opts.new_connection = note_sent(x, b);
 	log_info(g->process.logger, "request sent",
--- a/src/gateway/limits.c
+++ b/src/gateway/limits.c
@@ -49,7 +49,7 @@
 }
 
 void
-limits_on_news(struct gateway *g, const struct tm_limit *msg)
+limits_on_update(struct gateway *g, const struct tm_limit *msg)
 {
 	struct backend *b = backends_find(g->backends, msg->replica);
 	int64_t seen_us = clock_now(g->process.clock) - msg->age_us;
@@ -62,7 +62,7 @@
 }
 
 void
-limits_fill_news(
+limits_fill_update(
     const struct gateway *g, struct backend *b, struct tm_limit *msg)
 {
 	msg->replica = b->entry.id;
--- a/src/gateway/limits.h
+++ b/src/gateway/limits.h
@@ -3,7 +3,7 @@
  * them takes from all gateways together.
  *
  * A gateway learns a limit, and its end, from a replica's answers, or from the
- * sidecar that meters the replica and hears it from the other gateways.  Each
+ * sidecar that meters the replica and receives it from the other gateways. Each
  * request to a limited replica needs a place from the meter, see
  * exchange_limit.c.
  */
@@ -22,11 +22,11 @@
 void limits_on_answer(
     struct gateway *, struct backend *, int code, const struct answer_meta *);
 
-/* News from the meter. */
-void limits_on_news(struct gateway *, const struct tm_limit *);
+/* An update from the meter. */
+void limits_on_update(struct gateway *, const struct tm_limit *);
 
 /* What this gateway knows, for the meter; its name points into the backend. */
-void limits_fill_news(
+void limits_fill_update(
     const struct gateway *, struct backend *, struct tm_limit *);
 
 /* Whether the meter is connected, and has not just failed to answer. */
--- a/src/gateway/peer_conns.c
+++ b/src/gateway/peer_conns.c
@@ -71,7 +71,7 @@
 	struct gateway *g = pc->gateway;
 	struct fleet_record record;
 
-	log_info(g->process.logger, "replicas told by a peer",
+	log_info(g->process.logger, "replicas received from a peer",
 	    LF_I("entries", reply->entries.entries_len),
 	    LF_I("current", reply->current));
 	if (reply->current)
--- a/src/gateway/request_hash.h
+++ b/src/gateway/request_hash.h
@@ -1,5 +1,5 @@
 /*
- * request_hash -- tells a request that callers repeat from other requests.
+ * request_hash -- identifies a request that callers repeat.
  *
  * Each attempt of a caller has an id of its own.  What a repeat has in common
  * with the first attempt is the model and all parts of its prompt, of which the
--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -69,7 +69,7 @@
 	unsigned store_loads_limit;
 	int64_t limit_learned_us; /* by a sidecar, Unix time; 0: none yet */
 	int64_t uses_sent_us;
-	/* How far replicas have been read, as told to the sidecar of read_conn.
+	/* How far replicas have been read, as sent to the sidecar of read_conn.
 	 */
 	uint64_t read_sent;
 	struct rpc_conn *read_conn; /* NULL: to be chosen again */
@@ -204,7 +204,7 @@
 {
 	struct sidecar_conns *sc = ctx;
 
-	limits_on_news(sc->gateway, arg);
+	limits_on_update(sc->gateway, arg);
 }
 
 static void
@@ -212,7 +212,7 @@
 {
 	struct sidecar_conns *sc = ctx;
 
-	crash_guard_on_news(sc->gateway->crash_guard, arg);
+	crash_guard_on_report(sc->gateway->crash_guard, arg);
 }
 
 static void
@@ -405,7 +405,7 @@
 	return best;
 }
 
-/* Tells one sidecar, which hints the gateways that have read less. */
+/* To one sidecar, which hints the gateways that have read less. */
 static void
 send_read(struct sidecar_conns *sc)
 {
@@ -569,7 +569,7 @@
 
 	if (conn == NULL)
 		return;
-	limits_fill_news(sc->gateway, b, &msg);
+	limits_fill_update(sc->gateway, b, &msg);
 	(void)rpc_conn_send(conn, TM_LIMIT, (xdrproc_t)xdr_tm_limit, &msg);
 }
 
--- a/src/gateway/sidecar_conns.h
+++ b/src/gateway/sidecar_conns.h
@@ -6,7 +6,7 @@
  * requests for prefill permits and for places within a replica's limit.  Every
  * message carries its sender's deployment version; the side that is behind
  * requests the deployment on the same connection.  Gateways are not connected
- * to each other for what they tell all others: a sidecar passes it on.
+ * to each other for what they report to all others: a sidecar passes it on.
  */
 #ifndef GATEWAY_SIDECAR_CONNS_H
 #define GATEWAY_SIDECAR_CONNS_H
@@ -73,11 +73,11 @@
 struct rpc_conn *sidecar_conns_take_limit(struct sidecar_conns *,
     struct backend *, const struct tm_limit_take *, int64_t timeout_us,
     void (*done)(void *ctx, enum rpc_status, void *reply), void *ctx);
-/* Tells the meter of the replica its limit, if the meter is connected. */
+/* Sends the meter of the replica its limit, if the meter is connected. */
 void sidecar_conns_send_limit(struct sidecar_conns *, struct backend *);
-/* Tells the other gateways, by way of any sidecar that is connected. */
+/* To the other gateways, by way of any sidecar that is connected. */
 void sidecar_conns_send_crash(struct sidecar_conns *, const struct tm_crash *);
-/* Tells them that the replica leaves, in the same way. */
+/* Reports to them that the replica leaves, in the same way. */
 void sidecar_conns_send_leaves(struct sidecar_conns *, const struct backend *);
 /* Gives a permit back, or withdraws the request for it. */
 void sidecar_conns_prefill_done(struct backend *, uint64_t id);
--- a/src/protocol/tm.x
+++ b/src/protocol/tm.x
@@ -484,7 +484,7 @@
 };
 
 /* One-way, to every open connection: the sender's list has changed. */
-struct tm_list_news {
+struct tm_list_update {
 	unsigned hyper digest;
 	unsigned hyper age_us;		/* since the platform sent the list */
 };
@@ -622,9 +622,9 @@
 };
 
 /*
- * One-way, gateway to sidecar: whether the gateway wants to be told at once of
- * each new version.  A sidecar that has not been asked tells it with the next
- * load report, or soon after without one.
+ * One-way, gateway to sidecar: whether the gateway wants a report at once of each
+ * new version.  A sidecar that has not been asked reports it with the next load
+ * report, or soon after without one.
  */
 struct tm_deployment_follow {
 	bool follow;
@@ -732,7 +732,7 @@
 		tm_drain_reply TM_DRAIN(tm_drain_args) = 14;
 		tm_status_reply TM_STATUS(void) = 15;
 		tm_trace_reply TM_TRACE(tm_trace_args) = 16;
-		void TM_LIST_NEWS(tm_list_news) = 17;
+		void TM_LIST_UPDATE(tm_list_update) = 17;
 		tm_list_reply TM_LIST_PULL(void) = 18;
 		/* One-way, agent to entries: state of models has changed. */
 		void TM_LOAD(tm_load_report) = 19;
--- a/src/protocol/tm_xdr.c
+++ b/src/protocol/tm_xdr.c
@@ -1173,7 +1173,7 @@
 }
 
 bool_t
-xdr_tm_list_news (XDR *xdrs, tm_list_news *objp)
+xdr_tm_list_update (XDR *xdrs, tm_list_update *objp)
 {
 	register int32_t *buf;
 
--- a/src/protocol/tm_xdr.h
+++ b/src/protocol/tm_xdr.h
@@ -559,11 +559,11 @@
 };
 typedef struct tm_vm tm_vm;
 
-struct tm_list_news {
+struct tm_list_update {
 	u_quad_t digest;
 	u_quad_t age_us;
 };
-typedef struct tm_list_news tm_list_news;
+typedef struct tm_list_update tm_list_update;
 
 struct tm_list_reply {
 	u_quad_t digest;
@@ -857,9 +857,9 @@
 #define TM_TRACE 16
 extern  tm_trace_reply * tm_trace_1(tm_trace_args *, CLIENT *);
 extern  tm_trace_reply * tm_trace_1_svc(tm_trace_args *, struct svc_req *);
-#define TM_LIST_NEWS 17
-extern  void * tm_list_news_1(tm_list_news *, CLIENT *);
-extern  void * tm_list_news_1_svc(tm_list_news *, struct svc_req *);
+#define TM_LIST_UPDATE 17
+extern  void * tm_list_update_1(tm_list_update *, CLIENT *);
+extern  void * tm_list_update_1_svc(tm_list_update *, struct svc_req *);
 #define TM_LIST_PULL 18
 extern  tm_list_reply * tm_list_pull_1(void *, CLIENT *);
 extern  tm_list_reply * tm_list_pull_1_svc(void *, struct svc_req *);
@@ -971,9 +971,9 @@
 #define TM_TRACE 16
 extern  tm_trace_reply * tm_trace_1();
 extern  tm_trace_reply * tm_trace_1_svc();
-#define TM_LIST_NEWS 17
-extern  void * tm_list_news_1();
-extern  void * tm_list_news_1_svc();
+#define TM_LIST_UPDATE 17
+extern  void * tm_list_update_1();
+extern  void * tm_list_update_1_svc();
 #define TM_LIST_PULL 18
 extern  tm_list_reply * tm_list_pull_1();
 extern  tm_list_reply * tm_list_pull_1_svc();
@@ -1102,7 +1102,7 @@
 extern  bool_t xdr_tm_trace_event (XDR *, tm_trace_event*);
 extern  bool_t xdr_tm_trace_reply (XDR *, tm_trace_reply*);
 extern  bool_t xdr_tm_vm (XDR *, tm_vm*);
-extern  bool_t xdr_tm_list_news (XDR *, tm_list_news*);
+extern  bool_t xdr_tm_list_update (XDR *, tm_list_update*);
 extern  bool_t xdr_tm_list_reply (XDR *, tm_list_reply*);
 extern  bool_t xdr_tm_held_model (XDR *, tm_held_model*);
 extern  bool_t xdr_tm_replica_holds (XDR *, tm_replica_holds*);
@@ -1195,7 +1195,7 @@
 extern bool_t xdr_tm_trace_event ();
 extern bool_t xdr_tm_trace_reply ();
 extern bool_t xdr_tm_vm ();
-extern bool_t xdr_tm_list_news ();
+extern bool_t xdr_tm_list_update ();
 extern bool_t xdr_tm_list_reply ();
 extern bool_t xdr_tm_held_model ();
 extern bool_t xdr_tm_replica_holds ();
--- a/src/sidecar/gateway_conns.h
+++ b/src/sidecar/gateway_conns.h
@@ -6,7 +6,7 @@
  * limits of replicas (struct limit_meter).  The sidecar sends them reports of
  * the replica's holdings (loaded models and local copies) and load, hints those
  * that have read less of the store than others, and passes on what one of them
- * tells all: lost requests, and replicas that leave.
+ * reports to all: lost requests, and replicas that leave.
  */
 #ifndef SIDECAR_GATEWAY_CONNS_H
 #define SIDECAR_GATEWAY_CONNS_H
--- a/src/sidecar/gateway_conns_hint.c
+++ b/src/sidecar/gateway_conns_hint.c
@@ -2,8 +2,8 @@
  * Hints gateways that another one has read the replicas' topic of the
  * platform's store further: the store may have swallowed their reads.  Every
  * message of a gateway says how far it has read.  One that sends nothing to
- * engines would not be hinted: each gateway therefore tells one sidecar, and
- * that one hints those that are behind.
+ * engines would not be hinted: each gateway therefore reports to one sidecar,
+ * and that one hints those that are behind.
  */
 #include <bsd/sys/queue.h>
 
--- a/src/sidecar/gateway_conns_internal.h
+++ b/src/sidecar/gateway_conns_internal.h
@@ -32,7 +32,8 @@
 	bool sent_current;
 	uint64_t sent_version;
 	int64_t hint_sent_us; /* that it is behind another gateway */
-	/* How far it has read the replicas' topic; 0: it tells another sidecar.
+	/* How far it has read the replicas' topic; 0: it reports to another
+	 * sidecar.
 	 */
 	uint64_t replicas_read;
 	uint64_t hinted_offset; /* of the last hint without a message of it */
@@ -75,7 +76,7 @@
 /* Handlers of TM_LIMIT and TM_LIMIT_TAKE; ctx: struct gateway_conns. */
 void gateway_conns_on_limit(void *ctx, struct rpc_call *, void *args);
 void gateway_conns_on_limit_take(void *ctx, struct rpc_call *, void *args);
-/* Tells a gateway that has connected the limits in force. */
+/* Sends a gateway that has connected the limits in force. */
 void gateway_conn_send_limits(struct gateway_conns *, struct gateway_conn *);
 
 /* ---- gateway_conns_hint.c ---- */
--- a/src/state/control.h
+++ b/src/state/control.h
@@ -49,7 +49,7 @@
 
 enum control_verdict {
 	CONTROL_ACCEPTED,
-	CONTROL_STALE_EPOCH, /* the lease was claimed anew, or resigned */
+	CONTROL_STALE_EPOCH, /* the lease was claimed again, or resigned */
 	CONTROL_CONFLICT, /* version, shard or slot does not match the state */
 	CONTROL_EXCEEDS_DECIDED, /* more slots than decided replicas */
 };
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -412,7 +412,7 @@
 
 /* A plain replica leaves, and gateways use it no more within the time. */
 static void
-check_leaving_is_heard(int64_t max_ms)
+check_leaving_is_received(int64_t max_ms)
 {
 	int64_t start_ms = now_ms();
 
@@ -440,7 +440,7 @@
 	fleet_start_gateway(1);
 	await_true(
 	    fleet_gateway_ready, fleet.ready_address[1], "gateway ready");
-	check_leaving_is_heard(DEAF_MAX_MS);
+	check_leaving_is_received(DEAF_MAX_MS);
 	fleet_stop();
 }
 
@@ -462,7 +462,7 @@
 	set_faults(fleet.store, "{\"silent\": true}");
 	await_true(reads_are_swallowed, NULL, "reads swallowed");
 	set_faults(fleet.store, "{\"silent\": false}");
-	check_leaving_is_heard(DEAF_MAX_MS);
+	check_leaving_is_received(DEAF_MAX_MS);
 	fleet_stop();
 }
 
@@ -499,7 +499,7 @@
 	fleet_start();
 	await_true(reads_have_settled, &settled, "reads wait");
 	set_faults(fleet.store, "{\"forget_waiting\": \"keyed.servers\"}");
-	check_leaving_is_heard(LOST_ANSWER_MAX_MS);
+	check_leaving_is_received(LOST_ANSWER_MAX_MS);
 	fleet_stop();
 }
 
--- a/test/process/test_leaving.c
+++ b/test/process/test_leaving.c
@@ -45,7 +45,7 @@
 
 /* Waits until all gateways know; asserts that this takes not too long. */
 static void
-await_heard(const struct fleet_backend *b)
+await_received(const struct fleet_backend *b)
 {
 	int64_t start_ms = now_ms();
 
@@ -96,7 +96,7 @@
 	set_faults(fleet.services[1].address, "{\"shed\": 100}");
 	reach(b, "/look/1", NULL);
 	set_faults(fleet.services[1].address, "{\"shed\": 0}");
-	await_heard(b);
+	await_received(b);
 	g_assert_cmpint(send_requests(b, "/look/1", NULL), ==, 0);
 	fleet_stop();
 }
@@ -124,7 +124,7 @@
 		set_faults(fleet.services[i].address, "{\"shed\": 1000}");
 	set_faults(b->address, "{\"leaving\": true}");
 	reach(b, "/look/1", NULL);
-	await_heard(b);
+	await_received(b);
 	set_faults(fleet.services[1].address, "{\"shed\": 0}");
 	g_assert_cmpint(send_requests(b, "/look/1", NULL), ==, 0);
 	fleet_stop();
@@ -138,7 +138,7 @@
 
 	fleet_start();
 	set_faults(b->address, "{\"leaving\": true}");
-	await_heard(b);
+	await_received(b);
 	g_assert_cmpint(send_requests(b, "/stream/1", "m1"), ==, 0);
 	fleet_stop();
 }
@@ -226,7 +226,7 @@
 	set_faults(fleet.services[1].address, "{\"shed\": 1000}");
 	set_faults(b->address, "{\"leaving\": true}");
 	reach(b, "/look/1", NULL);
-	await_heard(b);
+	await_received(b);
 	set_faults(b->address,
 	    "{\"leaving\": false, \"crash_path\": \"end\", \"crash_ms\": 1}");
 	/* Ends it from outside the gateways. */
--- a/test/process/test_limit.c
+++ b/test/process/test_limit.c
@@ -288,7 +288,7 @@
 	set_limit(fleet.engines, FLEET_ENGINES, 1);
 	(void)run_load("/stream/1", "Tamarackmast-Model: m1");
 	set_limit(fleet.engines, FLEET_ENGINES, 0);
-	sleep_ms(1000); /* one answer tells that it has ended */
+	sleep_ms(1000); /* one answer says that it has ended */
 	out = run_load("/stream/1", "Tamarackmast-Model: m1");
 	/* Until the first answer, requests may be refused. */
 	g_assert_cmpint(out.served, >=, REQUESTS - REQUESTS_PER_S * 2);
--- a/test/process/test_membership_list.c
+++ b/test/process/test_membership_list.c
@@ -71,7 +71,7 @@
 
 	g_test_init(&argc, &argv, NULL);
 	cluster = cluster_start(&opts);
-	g_test_add_func("/membership/news", test_list_from_peers);
+	g_test_add_func("/membership/update", test_list_from_peers);
 	rc = g_test_run();
 	cluster_stop(cluster);
 	return rc;
--- a/test/unit/test_crash_bar.c
+++ b/test/unit/test_crash_bar.c
@@ -19,7 +19,7 @@
 /* Pause before the first trial of a whole request. */
 #define TRIAL_DUE_US (50 * USEC_PER_SEC)
 #define LOOP_MS 20 /* some reads and appends of the fake log */
-#define SOUND_MS 400 /* more than until a sound job is told */
+#define SOUND_MS 400 /* more than until a sound job is reported */
 
 struct fixture {
 	struct event_base *base;
--- a/test/unit/test_crash_parts.c
+++ b/test/unit/test_crash_parts.c
@@ -88,7 +88,7 @@
 	unsigned poisoned_sent, poisoned_after_5;
 	/* Of the request REPEATED. */
 	unsigned repeated_crashes, repeated_after_3;
-	unsigned told; /* losses that a gateway tells the others */
+	unsigned reported; /* losses, by a gateway to the others */
 };
 
 #define REPLAY_US (100 * USEC_PER_SEC)
@@ -98,22 +98,22 @@
 #define CONTROL_BYTES_PER_S 2048
 
 static uint64_t
-told_bytes(const struct load *l)
+reported_bytes(const struct load *l)
 {
 	struct tm_crash msg = { 0 };
 
-	return l->told *
+	return l->reported *
 	       (CALL_BYTES + xdr_sizeof((xdrproc_t)xdr_tm_crash, &msg));
 }
 
 /* What one gateway receives of the others. */
 static void
-check_told(const struct load *l)
+check_reported(const struct load *l)
 {
-	g_test_message(
-	    "%u losses told, %u bytes", l->told, (unsigned)told_bytes(l));
-	g_assert_cmpuint(
-	    told_bytes(l), <=, CONTROL_BYTES_PER_S * REPLAY_US / USEC_PER_SEC);
+	g_test_message("%u losses reported, %u bytes", l->reported,
+	    (unsigned)reported_bytes(l));
+	g_assert_cmpuint(reported_bytes(l), <=,
+	    CONTROL_BYTES_PER_S * REPLAY_US / USEC_PER_SEC);
 }
 
 /* Sends the request to a replica that is up; returns false without one. */
@@ -197,7 +197,7 @@
 static void
 lose_part(struct load *l, const struct crash_loss *loss)
 {
-	l->told += crash_parts_lost(l->cp, loss, l->now) && !loss->begun;
+	l->reported += crash_parts_lost(l->cp, loss, l->now) && !loss->begun;
 }
 
 static void
@@ -319,7 +319,7 @@
 			g_assert_cmpuint(l.crashes, <=, 5 + 3);
 		/* At least half of the sound ones begin, as without crashes. */
 		g_assert_cmpuint(2 * l.sound_refused, <, l.sound);
-		check_told(&l);
+		check_reported(&l);
 		crash_parts_destroy(l.cp);
 	}
 }
@@ -355,7 +355,7 @@
 		if (part)
 			g_assert_cmpuint(l.poisoned_after_5, <=, 3);
 		g_assert_cmpuint(2 * l.sound_refused, <, l.sound);
-		check_told(&l);
+		check_reported(&l);
 		crash_parts_destroy(l.cp);
 	}
 }
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -458,7 +458,7 @@
 }
 
 static void
-test_pause_is_told(void)
+test_pause_is_decoded(void)
 {
 	static const struct {
 		const char *text;
@@ -496,7 +496,7 @@
 }
 
 static void
-test_leaving_is_told(void)
+test_leaving_is_decoded(void)
 {
 	struct evkeyvalq headers;
 	struct answer_meta meta;
@@ -613,8 +613,8 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/platform/leaving", test_leaving_is_told);
-	g_test_add_func("/platform/pause", test_pause_is_told);
+	g_test_add_func("/platform/leaving", test_leaving_is_decoded);
+	g_test_add_func("/platform/pause", test_pause_is_decoded);
 	g_test_add_func("/platform/deployment", test_deployment);
 	g_test_add_func("/platform/index_grows_with_hosts_times_routes",
 	    test_index_grows_with_hosts_times_routes);
--- a/test/unit/test_rate_limit.c
+++ b/test/unit/test_rate_limit.c
@@ -83,7 +83,7 @@
 static void
 send_one(struct replay *r, unsigned gateway, int64_t now)
 {
-	struct limit_news news = {
+	struct limit_update update = {
 		.replica = "r", .born_ms = 1, .per_s = r->per_s, .seen_us = now
 	};
 	struct limit_place place;
@@ -95,7 +95,7 @@
 		    r->gateways, gateway, now, RATE_LIMIT_AHEAD_US, &at);
 	} else {
 		place = limit_meter_take(
-		    now < r->moves_us[gateway] ? r->former : r->meter, &news,
+		    now < r->moves_us[gateway] ? r->former : r->meter, &update,
 		    now, RATE_LIMIT_AHEAD_US);
 		placed = place.granted;
 		at = place.at_us;
@@ -228,28 +228,28 @@
 	}
 }
 
-static struct limit_news
-news(double per_s, int64_t seen_us, uint64_t born_ms)
+static struct limit_update
+update(double per_s, int64_t seen_us, uint64_t born_ms)
 {
-	return (struct limit_news){ "r", born_ms, per_s, seen_us };
+	return (struct limit_update){ "r", born_ms, per_s, seen_us };
 }
 
 static void
 test_older_answer_counts(void)
 {
 	struct limit_meter *m = limit_meter_create(0);
-	struct limit_news n = news(2, 100, 1);
+	struct limit_update n = update(2, 100, 1);
 	struct limit_place place;
 
 	g_assert_true(limit_meter_note(m, &n, 200));
-	n = news(0, 50, 1); /* came before it, and is told after it */
+	n = update(0, 50, 1); /* came before it, and is reported after it */
 	g_assert_false(limit_meter_note(m, &n, 210));
-	n = news(2, 150, 1);
+	n = update(2, 150, 1);
 	g_assert_false(limit_meter_note(m, &n, 220)); /* newer, the same */
 	/* The end of the limit, and what a gateway says that missed it. */
-	n = news(0, 300, 1);
+	n = update(0, 300, 1);
 	g_assert_true(limit_meter_note(m, &n, 310));
-	n = news(2, 150, 1);
+	n = update(2, 150, 1);
 	place = limit_meter_take(m, &n, 2000320, RATE_LIMIT_AHEAD_US);
 	g_assert_true(place.granted);
 	g_assert_false(place.changed);
@@ -264,13 +264,13 @@
 test_limit_outlasts_incarnation(void)
 {
 	struct limit_meter *m = limit_meter_create(0);
-	struct limit_news n = news(2, 100, 1);
+	struct limit_update n = update(2, 100, 1);
 	struct limit_place place;
 
 	g_assert_true(limit_meter_note(m, &n, 100));
-	n = news(0, 50, 2);
+	n = update(0, 50, 2);
 	g_assert_true(limit_meter_note(m, &n, 200));
-	n = news(2, 150, 1);
+	n = update(2, 150, 1);
 	g_assert_false(limit_meter_note(m, &n, 300));
 	place = limit_meter_take(m, &n, 2000320, RATE_LIMIT_AHEAD_US);
 	g_assert_true(place.granted);
@@ -286,7 +286,7 @@
 	char id[16];
 
 	for (int i = 0; i < 1000; i++) {
-		struct limit_news n = { id, 1, 1, i };
+		struct limit_update n = { id, 1, 1, i };
 
 		g_snprintf(id, sizeof(id), "r%d", i);
 		g_assert_true(limit_meter_note(m, &n, i));
--- a/test/unit/test_request_hash.c
+++ b/test/unit/test_request_hash.c
@@ -1,5 +1,5 @@
 /*
- * The hash that tells a request that callers repeat from others.
+ * The hash that identifies a request that callers repeat.
  *
  * Guards against repeats that are taken for different requests, and against
  * different requests that are taken for one.
