transport: a request that crosses the close of its connection is not begun

The request was sent 2 ms before idle connections were closed, reached its replica, and the answer was cut off with its first byte.

Cause: only the reading side of an idle connection was shut down. A request that arrived before evhttp had read the end of file was begun, and evhttp ends a response when it sees the end of file.

Change: both sides are shut down, and a request that is read there nevertheless is not begun. The caller sees a closed connection, as it would have a moment later, and nothing has run.

--- a/src/transport/http_conns.c
+++ b/src/transport/http_conns.c
@@ -125,14 +125,15 @@
 }
 
 /*
- * evhttp reads an end of file and frees its object, after the response to a
- * request that arrives just now.
+ * evhttp reads an end of file and frees its object.  Both sides are shut down:
+ * a request that arrives from now on could be read, but evhttp would end its
+ * response at the end of file.
  */
 static void
 conn_close(struct conn *conn)
 {
 	conn->shut = true;
-	(void)shutdown(conn->fd, SHUT_RD);
+	(void)shutdown(conn->fd, SHUT_RDWR);
 }
 
 static bool
--- a/src/transport/http_conns.h
+++ b/src/transport/http_conns.h
@@ -62,10 +62,7 @@
  * bytes that have not been read.
  */
 void http_conns_close_idle(struct http_conns *);
-/*
- * Whether this side has shut the connection's reading side down, so that the
- * end of file on it does not come from the peer.
- */
+/* Whether the connection has been closed here, and evhttp may not know it. */
 bool http_conns_is_shut(const struct http_conns *, evutil_socket_t fd);
 /* Whether a part of a request has arrived on a connection, not all of it. */
 bool http_conns_receive(const struct http_conns *);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -39,7 +39,6 @@
 };
 
 struct http_close_watch {
-	struct http_server *server;
 	struct event *event;
 	void (*on_disconnect)(void *);
 	void *ctx;
@@ -129,6 +128,11 @@
 	int status = find_exceeded_limit(server, req);
 
 	track_request(server, req);
+	if (http_conns_is_shut(server->conns, request_fd(req))) {
+		/* It has crossed the close: the caller sees that instead. */
+		http_reply(req, HTTP_SERVUNAVAIL, "text/plain", "", 0);
+		return;
+	}
 	if (status != 0) {
 		server->opts.refuse(server->opts.ctx, req, status);
 		return;
@@ -323,8 +327,7 @@
 	struct http_close_watch *watch = arg;
 
 	event_del(watch->event);
-	if (!http_conns_is_shut(watch->server->conns, fd))
-		watch->on_disconnect(watch->ctx);
+	watch->on_disconnect(watch->ctx);
 }
 
 /*
@@ -342,7 +345,6 @@
 
 	if (watch == NULL)
 		abort();
-	watch->server = server;
 	watch->on_disconnect = on_disconnect;
 	watch->ctx = ctx;
 	watch->event = event_new(server->opts.base, bufferevent_getfd(bev),
--- a/test/process/test_config_changes.c
+++ b/test/process/test_config_changes.c
@@ -130,6 +130,129 @@
 	fleet_stop();
 }
 
+#define STORM_ROUTES 3000
+#define STORM_CHANGES 60
+#define STORM_SKEW_MAX_MS 500 /* from the first gateway to the last one */
+#define CALLERS 4
+#define P99_MAX_FACTOR 1.2 /* of the value without changes */
+
+/* Streams at one gateway. */
+struct load {
+	int gateway;
+	GThread *threads[CALLERS];
+	GMutex lock;
+	GArray *took_ms; /* of all streams */
+	gint stop;
+};
+
+/* Runs streams one after the other. */
+static gpointer
+run_caller(gpointer arg)
+{
+	struct load *load = arg;
+
+	while (!g_atomic_int_get(&load->stop)) {
+		struct response resp;
+		int64_t start_ms = now_ms(), took_ms;
+		int r = fleet_request(&resp, FLEET_THIN, "/stream/1", "m1");
+
+		took_ms = now_ms() - start_ms;
+		g_assert_true(fleet_is_complete_stream(&resp, r));
+		response_clear(&resp);
+		g_mutex_lock(&load->lock);
+		g_array_append_val(load->took_ms, took_ms);
+		g_mutex_unlock(&load->lock);
+	}
+	return NULL;
+}
+
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* The 99th percentile of what the load has measured; starts again. */
+static int64_t
+take_p99(struct load *load)
+{
+	int64_t p99;
+
+	g_mutex_lock(&load->lock);
+	g_array_sort(load->took_ms, compare_times);
+	g_assert_cmpuint(load->took_ms->len, >, 100);
+	p99 = g_array_index(
+	    load->took_ms, int64_t, load->took_ms->len * 99 / 100);
+	g_test_message(
+	    "%u streams, p99 %lld ms", load->took_ms->len, (long long)p99);
+	g_array_set_size(load->took_ms, 0);
+	g_mutex_unlock(&load->lock);
+	return p99;
+}
+
+static void
+start_load(struct load *load, int gateway)
+{
+	load->gateway = gateway;
+	load->took_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	load->stop = 0;
+	g_mutex_init(&load->lock);
+	for (int i = 0; i < CALLERS; i++)
+		load->threads[i] = g_thread_new("caller", run_caller, load);
+}
+
+static void
+stop_load(struct load *load)
+{
+	g_atomic_int_set(&load->stop, 1);
+	for (int i = 0; i < CALLERS; i++)
+		g_thread_join(load->threads[i]);
+	g_array_free(load->took_ms, TRUE);
+	g_mutex_clear(&load->lock);
+}
+
+/*
+ * Callers stream over the thin link while a route changes every second.  Those
+ * of the other gateway show what else the machine does at that time.
+ */
+static void
+test_changes_delay_callers(void)
+{
+	GString *routes = start_with_routes(STORM_ROUTES);
+	struct load thin, wide;
+	int64_t next_ms, calm_ms, other_ms, busy_ms, wide_ms;
+
+	start_load(&thin, FLEET_THIN);
+	start_load(&wide, 0);
+	sleep_ms(STORM_CHANGES * CHANGE_PAUSE_MS / 4);
+	calm_ms = take_p99(&thin);
+	(void)take_p99(&wide);
+	next_ms = now_ms();
+	for (int n = STORM_ROUTES; n < STORM_ROUTES + STORM_CHANGES; n++) {
+		while (now_ms() < next_ms)
+			sleep_ms(5);
+		next_ms += CHANGE_PAUSE_MS;
+		add_route(routes, n);
+		fleet_configure(routes->str);
+		await_route(0, n);
+		wide_ms = now_ms();
+		await_route(FLEET_THIN, n);
+		g_assert_cmpint(now_ms() - wide_ms, <=, STORM_SKEW_MAX_MS);
+	}
+	busy_ms = take_p99(&thin);
+	other_ms = take_p99(&wide);
+	stop_load(&thin);
+	stop_load(&wide);
+	if (calm_ms < other_ms)
+		calm_ms = other_ms;
+	g_assert_cmpfloat(
+	    (double)busy_ms, <=, P99_MAX_FACTOR * (double)calm_ms);
+	g_string_free(routes, TRUE);
+	fleet_stop();
+}
+
 /* The document of MANY_ROUTES, compressed, takes about a second. */
 #define SLOW_LINK_BYTES_PER_S 20000
 
@@ -184,5 +307,7 @@
 	    test_change_costs_whole_table);
 	g_test_add_func("/config_changes/route_of_version_on_its_way_is_denied",
 	    test_route_of_version_on_its_way_is_denied);
+	g_test_add_func("/config_changes/changes_delay_callers",
+	    test_changes_delay_callers);
 	return g_test_run();
 }
