--- a/test/process/harness_fleet.c
+++ b/test/process/harness_fleet.c
@@ -363,6 +363,12 @@
 	start_processes(false, bytes_per_s);
 }
 
+void
+fleet_start_proxied_thin_link(int64_t bytes_per_s)
+{
+	start_processes(true, bytes_per_s);
+}
+
 static void
 kill_backend(struct fleet_backend *b)
 {
--- a/test/process/harness_fleet.h
+++ b/test/process/harness_fleet.h
@@ -72,6 +72,8 @@
  * gateway.
  */
 void fleet_start_thin_link(int64_t bytes_per_s);
+/* Both: the last gateway has its link instead of the proxy to the store. */
+void fleet_start_proxied_thin_link(int64_t bytes_per_s);
 /* Kills all processes; removes the directory unless TM_KEEP_LOGS is set. */
 void fleet_stop(void);
 void fleet_start_gateway(int i);
--- a/test/process/test_soak_platform.c
+++ b/test/process/test_soak_platform.c
@@ -32,6 +32,10 @@
 /* The timeout of the route, the longest fault, and 1 s. */
 #define LATEST_ANSWER_S (10 + FAULT_MAX_MS / 1000.0 + 1)
 #define BOOKINGS_MAX 20000
+#define TABLE_MAX 3000 /* routes that a change of the configuration adds */
+/* Seeds that this divides have a link of 10 Mbit/s before a gateway. */
+#define THIN_LINK_SEEDS 5
+#define THIN_LINK_BYTES_PER_S (10 * 1000 * 1000 / 8)
 /* A limit is judged from 3 s after it is first named. */
 #define LIMIT_MIN_MS 4000
 #define LIMIT_MAX_MS 8000
@@ -103,6 +107,8 @@
 	struct booking bookings[BOOKINGS_MAX];
 	unsigned booking_count;
 	unsigned answered, refused, failed;
+	GRand *tables;
+	int table; /* routes of the last one */
 };
 
 static struct soak soak;
@@ -226,6 +232,24 @@
 	set_faults(address, off);
 }
 
+/* A table of random size: most routes stay, or all are new. */
+static void
+configure(void)
+{
+	GString *routes = g_string_new("");
+	int from = g_rand_int_range(soak.tables, 0, 2) * TABLE_MAX;
+
+	soak.table = from + g_rand_int_range(soak.tables, 1, TABLE_MAX);
+	for (int n = from; n < soak.table; n++)
+		g_string_append_printf(routes,
+		    ",{\"name\":\"r%d\",\"host\":\"h.example\","
+		    "\"path_prefix\":\"/r%d/\",\"kind\":\"safe\","
+		    "\"timeout_ms\":5000,\"service\":\"app\"}",
+		    n, n);
+	fleet_configure(routes->str);
+	g_string_free(routes, TRUE);
+}
+
 static void
 inject_fault(enum fault_kind kind, int victim, int ms)
 {
@@ -280,7 +304,7 @@
 		    "{\"break_off\": false}", ms);
 		break;
 	case CONFIGURE:
-		fleet_configure("");
+		configure();
 		break;
 	case FAULT_KINDS:
 		break;
@@ -291,6 +315,8 @@
 static const char *
 pick_proxy_control(int victim)
 {
+	if (fleet.link_bytes_per_s > 0 && victim % 2 == 0)
+		return fleet.link_control;
 	switch (victim % 5) {
 	case 0:
 		return fleet.store_proxy_control;
@@ -471,6 +497,27 @@
 	}
 }
 
+static bool
+serves_last_table(void *gateway)
+{
+	char *path = g_strdup_printf("/r%d/1", soak.table - 1);
+	struct response resp;
+	bool ok;
+
+	(void)fleet_request(&resp, *(int *)gateway, path, NULL);
+	ok = resp.code == 200;
+	response_clear(&resp);
+	g_free(path);
+	return ok;
+}
+
+static void
+check_configuration(void)
+{
+	for (int i = 0; i < FLEET_GATEWAYS && soak.table > 0; i++)
+		await_true(serves_last_table, &i, "last table in force");
+}
+
 static void
 check_recovery(void)
 {
@@ -509,7 +556,11 @@
 	memset(&soak, 0, sizeof(soak));
 	soak.seed = seed;
 	rand = g_rand_new_with_seed(soak.seed);
-	fleet_start_proxied();
+	soak.tables = g_rand_new_with_seed(soak.seed * 100 + 55);
+	if (soak.seed % THIN_LINK_SEEDS == 0)
+		fleet_start_proxied_thin_link(THIN_LINK_BYTES_PER_S);
+	else
+		fleet_start_proxied();
 	others[0] = g_thread_new("links", inject_conn_faults, NULL);
 	others[1] = g_thread_new("limits", name_limits, NULL);
 	others[2] = g_thread_new("silences", silence_store, NULL);
@@ -531,12 +582,14 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(others); i++)
 		g_thread_join(others[i]);
 	check_recovery();
+	check_configuration();
 	check_bookings();
 	g_test_message("seed %u: %u answered, %u refused, %u failed, %u booked",
 	    soak.seed, soak.answered, soak.refused, soak.failed,
 	    soak.booking_count);
 	g_assert_cmpuint(soak.answered, >, 0);
 	g_rand_free(rand);
+	g_rand_free(soak.tables);
 	fleet_stop();
 }
 
@@ -569,12 +622,21 @@
 	}
 }
 
+/* A seed with a thin link. */
+static void
+test_thin_link(void)
+{
+	run_soak(2 * THIN_LINK_SEEDS, FAILED_SEED_SECONDS);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/soak/platform", test_platform);
-	if (getenv("SOAK_SEED") == NULL)
+	if (getenv("SOAK_SEED") == NULL) {
+		g_test_add_func("/soak/thin_link", test_thin_link);
 		g_test_add_func("/soak/failed_seeds", test_failed_seeds);
+	}
 	return g_test_run();
 }
