coordination, platform: feeds notice that the store came back from a copy

A gateway that had read to an offset went on from there, and never read the record that had got a lower one: a replica's leaving, for example.

Change: batches carry the era that the store's answers name.

--- a/src/coordination/keyed_feed.c
+++ b/src/coordination/keyed_feed.c
@@ -45,6 +45,7 @@
 	char after_key[FLEET_ID_MAX]; /* last key read of it; "": none */
 	uint64_t snapshot_end_offset; /* end of the topic at its first page */
 	uint64_t next_offset; /* to read */
+	uint64_t era; /* of the store, that next_offset belongs to; 0: none */
 	int64_t contact_since_us; /* -1: none, or the last read failed */
 	int64_t retry_us; /* next pause after a failed read, before jitter */
 	/* The newest read; NULL: none.  Answers to older ones are ignored. */
@@ -84,6 +85,32 @@
 	}
 }
 
+enum era_change {
+	ERA_SAME,
+	ERA_NEWER, /* the store came back from a copy */
+	ERA_OLDER, /* a late answer */
+};
+
+/* Offsets and hints belong to the era that they were read in. */
+static enum era_change
+note_era(struct keyed_feed *f, const struct fleet_batch *batch)
+{
+	uint64_t was = f->era;
+
+	if (batch->era == 0 || batch->era == was)
+		return ERA_SAME;
+	if (batch->era < was)
+		return ERA_OLDER;
+	f->era = batch->era;
+	if (was == 0)
+		return ERA_SAME;
+	f->hint = 0;
+	log_warn(f->opts.process->logger, "store came back from a copy",
+	    LF_S("feed", f->opts.name), LF_I("era", batch->era),
+	    LF_I("was", was), LF_I("next", f->next_offset));
+	return ERA_NEWER;
+}
+
 static void
 start_snapshot(struct keyed_feed *f)
 {
@@ -298,12 +325,17 @@
 {
 	struct keyed_feed *f = ctx;
 	const struct fleet_record *last;
+	enum era_change era = note_era(f, batch);
 
 	note_contact(f, batch);
-	if (batch->status != FLEET_OK) {
+	if (batch->status != FLEET_OK || era == ERA_OLDER) {
 		retry(f);
 		return;
 	}
+	if (era == ERA_NEWER && f->after_key[0] != '\0') {
+		start_snapshot(f); /* the first pages were of the older era */
+		return;
+	}
 	f->retry_us = RETRY_MIN_US;
 	if (f->after_key[0] == '\0') {
 		/* Later pages may have newer records, which are read twice. */
@@ -328,15 +360,21 @@
 static void
 apply_read(struct keyed_feed *f, const struct fleet_batch *batch)
 {
+	enum era_change era = note_era(f, batch);
+
 	end_read(f);
 	note_contact(f, batch);
+	if (era == ERA_NEWER) {
+		start_snapshot(f);
+		return;
+	}
 	if (batch->status == FLEET_EXPIRED) {
 		log_warn(f->opts.process->logger, "records expired",
 		    LF_S("feed", f->opts.name), LF_I("next", f->next_offset));
 		start_snapshot(f);
 		return;
 	}
-	if (batch->status != FLEET_OK) {
+	if (batch->status != FLEET_OK || era == ERA_OLDER) {
 		retry(f);
 		return;
 	}
@@ -430,6 +468,12 @@
 	if (!newest)
 		return;
 	f->check = NULL;
+	if (note_era(f, batch) == ERA_NEWER) {
+		note_contact(f, batch);
+		end_read(f);
+		start_snapshot(f);
+		return;
+	}
 	if (f->paused) {
 		apply_paused_check(f, batch);
 		return;
--- a/src/coordination/keyed_feed.h
+++ b/src/coordination/keyed_feed.h
@@ -14,6 +14,10 @@
  * the reads that begin in it at all daemons, and from then on at intervals.  If
  * another daemon has read further, the feed reads again at once.
  *
+ * A store that comes back from a copy gives offsets out again.  Its answers
+ * name a higher era then, and the feed reads a snapshot; late answers of an
+ * older era change nothing.
+ *
  * In a topic of large records, where only the newest one counts, a check reads
  * the end of the topic instead of its records, and leaves alone a read whose
  * answer is on its way; a feed that is several records behind reads a snapshot.
--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -204,7 +204,16 @@
 	enum fleet_status status;
 	const struct fleet_record *records; /* only if FLEET_OK */
 	size_t count;
-	uint64_t end; /* offset of the topic's next record; 0: not known */
+	/*
+	 * Higher each time the store has come back from an older copy, with
+	 * offsets that are given out again; 0: not stated.
+	 */
+	uint64_t era;
+	/*
+	 * Offset of the topic's next record; FLEET_EXPIRED: that of the first
+	 * one which is left; 0: not known.
+	 */
+	uint64_t end;
 	uint64_t next; /* read: offset after the last record that has arrived */
 	bool more; /* snapshot: further keys follow */
 };
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -503,6 +503,29 @@
 	fleet_stop();
 }
 
+/*
+ * The store comes back from a copy that lacks a record, and gives its offset to
+ * another one, which a gateway that goes on at its own offset would not read.
+ */
+static void
+test_store_gives_offset_out_again(void)
+{
+	fleet_start();
+	for (int i = 0; i < 3; i++) {
+		struct settled settled = { 0 };
+
+		fleet_write_replica(&fleet.services[1], "app", "ready", 1000);
+		await_true(reads_have_settled, &settled, "reads wait");
+		set_faults(fleet.store, "{\"go_back\": 1}");
+		check_leaving_is_received(DEAF_MAX_MS);
+		fleet_write_replica(
+		    &fleet.services[0], "app", "ready", 2000 + i);
+	}
+	/* The configuration in force stays. */
+	g_assert_true(fleet_gateway_ready(fleet.ready_address[0]));
+	fleet_stop();
+}
+
 static bool
 reads_because_of_peer(void *ctx)
 {
@@ -842,6 +865,8 @@
 	    test_lost_answers_leave_all_gateways_deaf);
 	g_test_add_func("/gateway/idle_gateway_gets_no_hint",
 	    test_idle_gateway_gets_no_hint);
+	g_test_add_func("/gateway/store_gives_offset_out_again",
+	    test_store_gives_offset_out_again);
 	g_test_add_func("/gateway/without_store", test_without_store);
 	g_test_add_func(
 	    "/gateway/starts_without_store", test_starts_without_store);
--- a/test/unit/test_keyed_feed.c
+++ b/test/unit/test_keyed_feed.c
@@ -417,6 +417,46 @@
 	close_feed(f);
 }
 
+/* Answers a read with a record of an era. */
+static void
+answer_in_era(unsigned read, uint64_t era)
+{
+	struct fake_read *r = &store.reads[read];
+	struct fleet_record record = { .offset = r->from };
+	struct fleet_batch batch = { .status = FLEET_OK,
+		.records = &record,
+		.count = 1,
+		.next = r->from + 1,
+		.end = r->from + 1,
+		.era = era };
+
+	r->done(r->ctx, &batch);
+}
+
+/* The store gives offsets out again; an answer of the era before comes late. */
+static void
+test_offset_of_older_era(void)
+{
+	struct keyed_feed *f = open_feed(false, 0);
+
+	answer_in_era(0, 7);
+	run_loop(10 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.records, ==, 1);
+	answer_in_era(1, 8);
+	g_assert_cmpuint(store.snapshots, ==, 2);
+	g_assert_cmpuint(store.records, ==, 1);
+	run_loop(10 * USEC_PER_MSEC);
+	g_assert_cmpuint(store.reads[2].from, ==, END);
+	answer_in_era(2, 7);
+	g_assert_cmpuint(store.records, ==, 1);
+	g_assert_cmpuint(keyed_feed_next_offset(f), ==, END);
+	run_loop(200 * USEC_PER_MSEC);
+	answer_in_era(3, 8);
+	g_assert_cmpuint(store.records, ==, 2);
+	g_assert_cmpuint(store.snapshots, ==, 2);
+	close_feed(f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -445,5 +485,7 @@
 	    "/keyed_feed/paused_feed_reads", test_paused_feed_reads);
 	g_test_add_func("/keyed_feed/paused_feed_stays_behind",
 	    test_paused_feed_stays_behind);
+	g_test_add_func(
+	    "/keyed_feed/offset_of_older_era", test_offset_of_older_era);
 	return g_test_run();
 }
