gateway: a stop refuses what it could only cut later

What callers saw (report of another operator): in a planned stop of one gateway, in calm, requests that came late in the grace were passed on and cut at its end, among them ones that may not be repeated.

Cause: for 2.9 s after the signal, and for whatever waited for a load or a permit during all of the grace, only the deadline decided whether a request was passed on; routes allow more than the 8 s of the grace.

Evidence: /gateway/late_requests_are_cut, 26 streams of 6.4 s sent throughout the grace: without the check (scratch copy) the one of 1,750 ms was passed on and cut; with it each is complete, or refused as not run, or never read.

Change: coordination/stop_admission.c decides by what is left of the grace, the request's time-out and, for streams, the time within which 99 of 100 answers of the route have ended; checked where a replica is chosen and where the request is put on the wire. What may have run already goes on.

Also: a server that stops after any byte of its answer's head, or of a framed body, on new and kept connections, by close, reset and silence, has given no answer (/http_client/answers_cut_anywhere, /http_client/silence_within_head).

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -15,6 +15,7 @@
 #include "coordination/model_rates.h"
 #include "coordination/retry_budget.h"
 #include "coordination/selection.h"
+#include "coordination/stop_admission.h"
 #include "gateway/backends.h"
 #include "gateway/candidates.h"
 #include "gateway/crash_guard.h"
@@ -45,6 +46,9 @@
 /* Longest Retry-After, as a share of the time left: a retry needs the rest. */
 #define RETRY_AFTER_MAX_SHARE 0.33
 #define RETRY_AFTER_MIN_US (100 * USEC_PER_MSEC)
+/* While stopping: of a route's answers, for the time that one may take. */
+#define LIKELY_QUANTILE 0.99
+#define LIKELY_MIN_COUNT 20
 
 /* ---- ending an exchange ---- */
 
@@ -366,6 +370,40 @@
 	return false;
 }
 
+/* Time within which nearly all requests of the route end; 0: not known. */
+static int64_t
+likely_us(const struct exchange *x)
+{
+	char labels[METRICS_LABEL_MAX * 2] = "";
+	const struct histogram *h;
+
+	metrics_label(labels, sizeof(labels), "route", x->route->name);
+	h = metrics_histogram(
+	    x->gateway->process.metrics, "gateway_answer_seconds", labels);
+	return h->count < LIKELY_MIN_COUNT
+		   ? 0
+		   : (int64_t)histogram_quantile(h, LIKELY_QUANTILE);
+}
+
+bool
+exchange_passes_stop(struct exchange *x)
+{
+	const struct gateway *g = x->gateway;
+	struct stop_request r = { .stream = x->route->kind == ROUTE_STREAM };
+
+	/* What may have run already is not refused. */
+	if (g->stop_us == 0 || x->may_have_run || x->response_begun)
+		return true;
+	r.left_us = gateway_stop_left_us(g);
+	r.longest_us = exchange_left_us(x);
+	r.likely_us = likely_us(x);
+	if (stop_admits(&r))
+		return true;
+	exchange_refuse(x, RESULT_LEAVING, "could not end before the stop",
+	    RETRY_AFTER_MIN_US);
+	return false;
+}
+
 /* Selected again, as another replica may take it before the pause ends. */
 static void
 wait_for_quiet(struct exchange *x, const struct backend *b, int64_t quiet_us)
@@ -390,7 +428,7 @@
 		return;
 	}
 	x->selected_us = clock_now(x->gateway->process.clock);
-	if (!exchange_passes_guard(x))
+	if (!exchange_passes_stop(x) || !exchange_passes_guard(x))
 		return;
 	choice = choose_backend(x, service);
 	if (choice.backend == NULL && exchange_forget_unloaded(x))
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -94,6 +94,11 @@
  * it.  May free the exchange.
  */
 void exchange_dispatch(struct exchange *);
+/*
+ * Whether the request can end before a stopping gateway must.  Otherwise it is
+ * refused, which frees the exchange.
+ */
+bool exchange_passes_stop(struct exchange *);
 /*
  * Whether the request may be sent as far as crash_guard knows.  Otherwise it is
  * refused, which frees the exchange, or waits for a trial without a replica.
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -151,7 +151,7 @@
 		exchange_dispatch(x);
 		return;
 	}
-	if (!exchange_passes_limit(x))
+	if (!exchange_passes_stop(x) || !exchange_passes_limit(x))
 		return;
 	/* The prompt may have been found to crash replicas meanwhile. */
 	if (!exchange_passes_guard(x))
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -311,6 +311,19 @@
 		    g->process.logger, g->settings.log_level);
 }
 
+/* When requests without a response are answered, if they must. */
+static int64_t
+stop_answer_us(const struct gateway *g)
+{
+	return g->settings.drain_ms * USEC_PER_MSEC - STOP_FLUSH_US;
+}
+
+int64_t
+gateway_stop_left_us(const struct gateway *g)
+{
+	return stop_answer_us(g) - (clock_now(g->process.clock) - g->stop_us);
+}
+
 static void
 stop_if_drained(struct gateway *g)
 {
@@ -318,7 +331,7 @@
 
 	if (since >= STOP_CLOSE_IDLE_US)
 		http_server_close_idle(g->caller_http);
-	if (since >= g->settings.drain_ms * USEC_PER_MSEC - STOP_FLUSH_US)
+	if (since >= stop_answer_us(g))
 		exchanges_answer_all(g);
 	if (since < STOP_MIN_US)
 		return;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -108,6 +108,9 @@
  */
 double gateway_retry_burst(const struct gateway *, unsigned gateways);
 
+/* While stopping: time until all requests are to be ended; negative: passed. */
+int64_t gateway_stop_left_us(const struct gateway *);
+
 /* Sets the pause between two checks of each feed by one gateway of so many. */
 void gateway_set_check_pauses(struct gateway *, unsigned gateways);
 
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -692,6 +692,75 @@
 	fleet_stop();
 }
 
+struct late_request {
+	int64_t at_ms; /* after the signal */
+	int64_t signal_ms;
+	bool complete;
+	bool refused; /* not run, with a time to come back */
+	bool unsent; /* no connection, or closed before it was read */
+};
+
+static void *
+send_late(void *arg)
+{
+	struct late_request *late = arg;
+	struct response resp;
+	int r;
+
+	sleep_ms((int)(late->signal_ms + late->at_ms - now_ms()));
+	r = fleet_request(&resp, 0, "/stream/1", "m1");
+	late->complete = fleet_is_complete_stream(&resp, r);
+	late->refused = resp.code == 503 && resp.retry_after_s > 0;
+	late->unsent = resp.code == 0 && resp.len == 0;
+	response_clear(&resp);
+	return NULL;
+}
+
+#define LATE_REQUESTS 26
+#define LATE_EVENT_MS 800 /* a stream takes most of the grace */
+
+/*
+ * Requests that come throughout the grace of a planned stop: none may be passed
+ * on and then cut.
+ */
+static void
+test_late_requests_are_cut(void)
+{
+	struct late_request late[LATE_REQUESTS];
+	GThread *threads[LATE_REQUESTS];
+	int complete = 0, refused = 0;
+	int64_t before;
+
+	fleet_start();
+	fleet_set_faults(fleet.engines, FLEET_ENGINES,
+	    "{\"event_ms\":" G_STRINGIFY(LATE_EVENT_MS) "}");
+	before = fleet_sum_journals(fleet.engines, FLEET_ENGINES, "runs");
+	for (int i = 0; i < LATE_REQUESTS; i++) {
+		late[i] = (struct late_request){ .signal_ms = now_ms() + 100,
+			.at_ms = i * 300 - 50 };
+		threads[i] = g_thread_new("late", send_late, &late[i]);
+	}
+	sleep_ms(100);
+	proc_signal(&fleet.gateways[0], SIGTERM);
+	for (int i = 0; i < LATE_REQUESTS; i++) {
+		g_thread_join(threads[i]);
+		g_test_message("at %d ms: complete %d, refused %d, unsent %d",
+		    (int)late[i].at_ms, late[i].complete, late[i].refused,
+		    late[i].unsent);
+		complete += late[i].complete;
+		refused += late[i].refused;
+		g_assert_true(
+		    late[i].complete || late[i].refused || late[i].unsent);
+	}
+	g_assert_cmpint(proc_wait(&fleet.gateways[0]), ==, 0);
+	g_assert_cmpint(
+	    fleet_sum_journals(fleet.engines, FLEET_ENGINES, "runs") - before,
+	    ==, complete);
+	g_assert_cmpint(complete, >, 0);
+	g_assert_cmpint(refused, >, 0);
+	fleet_stop();
+}
+
 static int
 connect_gateway(int gateway)
 {
@@ -873,6 +942,8 @@
 	g_test_add_func(
 	    "/gateway/waits_for_deployment", test_waits_for_deployment);
 	g_test_add_func("/gateway/graceful_stop", test_graceful_stop);
+	g_test_add_func(
+	    "/gateway/late_requests_are_cut", test_late_requests_are_cut);
 	g_test_add_func(
 	    "/gateway/second_sigterm_kills", test_second_sigterm_kills);
 	g_test_add_func("/gateway/idle_callers", test_idle_callers);
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -15,6 +15,7 @@
 #include "coordination/prefill_gate.h"
 #include "coordination/replica_speed.h"
 #include "coordination/selection.h"
+#include "coordination/stop_admission.h"
 #include "coordination/swap.h"
 #include "protocol/event_stream.h"
 #include "protocol/fleet.h"
@@ -457,6 +458,30 @@
 	g_assert_cmpfloat(slowdown_peak_update(&p, 0.5, 40000000), ==, 1);
 }
 
+/* Within the grace, or a stream as long as most: passed on while stopping. */
+static void
+test_stop_admits(void)
+{
+	const struct stop_request base = { .left_us = 5000000,
+		.longest_us = 5000000 };
+	struct stop_request r = base;
+
+	g_assert_true(stop_admits(&r));
+	r.longest_us = 5000001;
+	g_assert_false(stop_admits(&r));
+	r.likely_us = 100000; /* may hang until its time-out, and run once */
+	g_assert_false(stop_admits(&r));
+	r.stream = true;
+	g_assert_true(stop_admits(&r));
+	r.likely_us = 5000001;
+	g_assert_false(stop_admits(&r));
+	r.likely_us = 0;
+	g_assert_false(stop_admits(&r));
+	r = base;
+	r.left_us = -1;
+	g_assert_false(stop_admits(&r));
+}
+
 /* ---- swap ---- */
 
 static struct swap_model
@@ -1021,6 +1046,7 @@
 	    "/read_gate/late_prompts_join", test_gate_late_prompts_join);
 	g_test_add_func("/replica_speed", test_replica_speed);
 	g_test_add_func("/replica_speed/peak", test_slowdown_peak);
+	g_test_add_func("/stop_admission", test_stop_admits);
 	g_test_add_func("/swap/spares_first", test_swap_evicts_spares_first);
 	g_test_add_func("/read_gate/streams", test_gate_bounds_event_gap);
 	g_test_add_func("/read_gate/order", test_gate_order);
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -313,6 +313,72 @@
 	close_fixture(&f);
 }
 
+/*
+ * A server that stops after any byte of its answer's head, or of a body with a
+ * length or in chunks, has given no answer, on a new connection and on a kept
+ * one.
+ */
+static void
+test_answers_cut_anywhere(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"5\r\nwhole\r\n0\r\n\r\n",
+		/* The body ends with the connection: only its head is cut. */
+		"HTTP/1.1 200 OK\r\nId: b\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n"
+		"HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n",
+		/* A copy of the last answer before the one that is due. */
+		OK_A "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n",
+	};
+	static const enum ending endings[] = { CLOSE, RESET };
+	struct fixture f;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers) * 2 * 2; i++) {
+		const char *answer = answers[i / 4];
+		bool kept = i % 2 == 1;
+
+		for (size_t len = 0; len < strlen(answer); len++) {
+			char *cut = g_strndup(answer, len);
+			const struct step script[] = { { OK_A, KEEP },
+				{ cut, endings[i / 2 % 2] } };
+
+			open_fixture(&f, kept ? script : script + 1);
+			if (kept)
+				call(&f);
+			f.accept_id = "b";
+			call(&f);
+			if (f.status != HTTP_CALL_FAILED)
+				g_error(
+				    "answer %d, %d bytes", (int)i, (int)len);
+			close_fixture(&f);
+			g_free(cut);
+		}
+	}
+}
+
+/* One that falls silent there has given none either. */
+static void
+test_silence_within_head(void)
+{
+	static const char answer[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	struct fixture f;
+
+	for (size_t len = 0; len < sizeof(answer) - 1; len++) {
+		char *cut = g_strndup(answer, len);
+		const struct step script[] = { { cut, KEEP } };
+
+		open_fixture(&f, script);
+		f.timeout_us = 5000;
+		call(&f);
+		g_assert_cmpint(f.status, ==, HTTP_CALL_TIMED_OUT);
+		close_fixture(&f);
+		g_free(cut);
+	}
+}
+
 /* http_client_close_idle() closes kept-alive connections. */
 static void
 test_stray_bytes(void)
@@ -511,6 +577,10 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http_client/keeps", test_keeps_connections);
 	g_test_add_func("/http_client/extra_answers", test_extra_answers);
+	g_test_add_func(
+	    "/http_client/answers_cut_anywhere", test_answers_cut_anywhere);
+	g_test_add_func(
+	    "/http_client/silence_within_head", test_silence_within_head);
 	g_test_add_func("/http_client/stray_bytes", test_stray_bytes);
 	g_test_add_func("/http_client/bounds_idle", test_bounds_idle);
 	g_test_add_func("/http_client/ends", test_ends);
