common, coordination, gateway: a jump of the time of day changes no decision

What callers would see: with the time of day set back by 20 s at one VM, its replica loads nothing from the weight store for 20 s; set ahead, it loads more than the store's window allows.

Cause: records of loads and the turns of gateways without a meter went by the wall clock of each moment.

Change: clock_common(), the wall clock as of a daemon's start, moved on by the monotonic clock. All other decisions and time-outs use the monotonic clock; what is left of the wall clock are log lines, trace events and the created field of completions.

Test: /load_permit/clock_steps_change_no_window; with clock_wall() in its place (manual clock) both steps fail it by construction of the old code, which compared wall clock times. Not covered: a daemon that starts while its clock is wrong, beyond the slack of 2.5 s.

--- a/src/common/clock.c
+++ b/src/common/clock.c
@@ -7,6 +7,8 @@
 struct clock {
 	bool manual;
 	int64_t now_us;
+	int64_t wall_step_us; /* of a manual clock */
+	int64_t common_ahead_us; /* of clock_now() */
 };
 
 static int64_t
@@ -21,7 +23,11 @@
 struct clock *
 clock_create_real(void)
 {
-	return calloc(1, sizeof(struct clock));
+	struct clock *clock = calloc(1, sizeof(*clock));
+
+	if (clock != NULL)
+		clock->common_ahead_us = clock_wall(clock) - clock_now(clock);
+	return clock;
 }
 
 struct clock *
@@ -63,7 +69,20 @@
 int64_t
 clock_wall(const struct clock *clock)
 {
-	return clock->manual ? clock->now_us : read_clock(CLOCK_REALTIME);
+	return clock->manual ? clock->now_us + clock->wall_step_us
+			     : read_clock(CLOCK_REALTIME);
+}
+
+int64_t
+clock_common(const struct clock *clock)
+{
+	return clock_now(clock) + clock->common_ahead_us;
+}
+
+void
+clock_step_wall(struct clock *clock, int64_t us)
+{
+	clock->wall_step_us += us;
 }
 
 void
--- a/src/coordination/load_concurrency.h
+++ b/src/coordination/load_concurrency.h
@@ -11,7 +11,7 @@
  * raises it to one above the number of loads that ran, but only some time after
  * a slow load last set it.
  *
- * A pure policy.  Times are wall clock times of several daemons.
+ * A pure policy.  Times are of clock_common() of several daemons.
  */
 #ifndef COORDINATION_LOAD_CONCURRENCY_H
 #define COORDINATION_LOAD_CONCURRENCY_H
--- a/src/coordination/load_permit.c
+++ b/src/coordination/load_permit.c
@@ -16,7 +16,7 @@
 
 /* Loads beyond the rate in a window; the platform allows one more. */
 #define WINDOW_BURST 2
-/* Wall clocks differ between daemons and may be set back by some seconds. */
+/* The wall clocks of daemons may differ by some seconds as they start. */
 #define CLOCK_SLACK_US (2500 * USEC_PER_MSEC)
 #define APPEND_RETRY_US (200 * USEC_PER_MSEC)
 /* Longer than APPEND_RETRY_US: calls to an unreachable store are costly. */
@@ -26,7 +26,8 @@
 /* Callers repeat a request at each replica report, several times a second. */
 #define REQUEST_EXPIRY_US (1 * USEC_PER_SEC)
 
-/* Record of FLEET_STORE_LOADS, in network byte order; wall clock times. */
+/* Record of FLEET_STORE_LOADS, in network byte order; times of clock_common().
+ */
 struct load_record {
 	uint64_t began_us;
 	uint32_t load_ms; /* without concurrent loads */
@@ -77,7 +78,7 @@
 try_append(struct load_permit *p)
 {
 	struct process *process = p->opts.process;
-	int64_t now = clock_wall(process->clock);
+	int64_t now = clock_common(process->clock);
 	struct load_record load = { .began_us = htobe64((uint64_t)now),
 		.load_ms = htobe32((uint32_t)(p->load_us / USEC_PER_MSEC)),
 		.limit = htobe32(p->concurrency.limit),
@@ -129,7 +130,7 @@
 		load_offline_end(&p->offline);
 	switch (batch->status) {
 	case FLEET_OK:
-		now = clock_wall(p->opts.process->clock);
+		now = clock_common(p->opts.process->clock);
 		load_window_record(&p->window, now);
 		p->concurrent =
 		    load_concurrency_begin(&p->concurrency, now, p->load_us);
@@ -158,7 +159,7 @@
 static void
 note_record(struct load_permit *p, const struct load_record *r)
 {
-	int64_t now = clock_wall(p->opts.process->clock);
+	int64_t now = clock_common(p->opts.process->clock);
 	int64_t began_us = clamp_to_now((int64_t)be64toh(r->began_us), now);
 	int64_t load_us = (int64_t)be32toh(r->load_ms) * USEC_PER_MSEC;
 
@@ -235,7 +236,7 @@
 load_permit_update(
     struct load_permit *p, unsigned running, unsigned limit, int64_t learned_us)
 {
-	int64_t wall = clock_wall(p->opts.process->clock);
+	int64_t wall = clock_common(p->opts.process->clock);
 
 	load_offline_report(
 	    &p->offline, running, clock_now(p->opts.process->clock));
@@ -270,7 +271,7 @@
 	unsigned before = p->concurrency.limit;
 
 	load_concurrency_learn(&p->concurrency, p->concurrent, p->load_us,
-	    took_us, clock_wall(p->opts.process->clock));
+	    took_us, clock_common(p->opts.process->clock));
 	if (p->concurrency.limit != before)
 		log_info(p->opts.process->logger, "loads at full speed",
 		    LF_I("concurrent", p->concurrency.limit),
--- a/src/coordination/load_permit.h
+++ b/src/coordination/load_permit.h
@@ -57,7 +57,7 @@
 /*
  * Passes in what gateways report: the running loads, which count while the
  * store is unreachable, and how many concurrent loads run at full speed, with
- * the wall clock time when that was learned.
+ * the time of clock_common() when that was learned.
  */
 void load_permit_update(
     struct load_permit *, unsigned running, unsigned limit, int64_t learned_us);
--- a/src/coordination/load_window.h
+++ b/src/coordination/load_window.h
@@ -5,7 +5,7 @@
  * allows a number of loads in any window of time.  Each load is recorded in a
  * log before it starts; a daemon counts the records within the window.
  *
- * A pure policy.  Times are wall clock times of several daemons: a record
+ * A pure policy.  Times are of clock_common() of several daemons: a record
  * counts for slack_us longer than the window, and one from the future counts
  * as well.
  */
--- a/src/coordination/rate_limit.h
+++ b/src/coordination/rate_limit.h
@@ -4,7 +4,7 @@
  * Made for a replica in need to which several gateways send at once: what each
  * of them sends is little, and their sum is too much.  One process, the meter,
  * places the requests of all gateways (struct rate_limit).  A gateway that
- * cannot reach the meter takes its turn by the wall clock (struct rate_share):
+ * cannot reach the meter takes its turn by clock_common() (struct rate_share):
  * turns of different gateways do not coincide, so that what gathered at many
  * gateways is not sent at the same moment.
  *
@@ -52,7 +52,7 @@
 
 /*
  * As rate_limit_take(), for the gateway with this index of so many gateways
- * that share the limit.  Times are of the wall clock.
+ * that share the limit.  Times are of clock_common().
  */
 bool rate_share_take(struct rate_share *, double per_s, unsigned gateways,
     uint64_t index, int64_t now_us, int64_t ahead_us, int64_t *at_us);
--- a/src/gateway/exchange_limit.c
+++ b/src/gateway/exchange_limit.c
@@ -134,18 +134,18 @@
 	struct gateway *g = x->gateway;
 	struct backend *b = x->backend;
 	int64_t now = clock_now(g->process.clock);
-	int64_t wall = clock_wall(g->process.clock), at;
+	int64_t common = clock_common(g->process.clock), at;
 	bool metered = sidecar_conns_meter(g->sidecar_conns, b) != NULL;
 	double per_s = b->limit.per_s * (metered ? UNMETERED_SHARE : 1);
 
 	if (rate_share_take(&b->limit.share, per_s,
 		sidecar_conns_gateways(g->sidecar_conns),
-		XXH3_64bits(g->settings.vm, strlen(g->settings.vm)), wall,
+		XXH3_64bits(g->settings.vm, strlen(g->settings.vm)), common,
 		longest_wait_us(x), &at)) {
-		use_place(x, now + at - wall);
+		use_place(x, now + at - common);
 		return;
 	}
-	b->limit.turn_us = now + at - wall;
+	b->limit.turn_us = now + at - common;
 	choose_other(x);
 }
 
--- a/test/unit/test_load_permit.c
+++ b/test/unit/test_load_permit.c
@@ -32,6 +32,7 @@
 	unsigned appends;
 	unsigned reads;
 	unsigned granted;
+	bool accepts; /* appends */
 } store;
 
 static void
@@ -59,6 +60,11 @@
     void *ctx)
 {
 	store.appends++;
+	if (store.accepts) {
+		store.end++;
+		begin_call(FLEET_OK, done, ctx);
+		return;
+	}
 	store.end = 5;
 	begin_call(FLEET_CONFLICT, done, ctx);
 }
@@ -113,11 +119,74 @@
 	process_close(&store.process);
 }
 
+/* Requests a permit until one is granted, for at most RUN_US. */
+static bool
+is_granted(struct load_permit *p)
+{
+	unsigned before = store.granted;
+	struct timeval tv = clock_timeval(20 * USEC_PER_MSEC);
+
+	(void)load_permit_take(p);
+	for (int i = 0; i < 20 && store.granted == before; i++) {
+		load_permit_request(p, 1, USEC_PER_MSEC);
+		event_base_loopexit(store.process.base, &tv);
+		event_base_dispatch(store.process.base);
+	}
+	return store.granted != before;
+}
+
+/*
+ * The time of day jumps, in the middle of the window of a store that allows a
+ * load a second: ahead it must not end the window, back not prolong it.
+ */
+static void
+test_clock_steps_change_no_window(void)
+{
+	static const int64_t steps[] = { 20 * USEC_PER_SEC, -20 * USEC_PER_SEC,
+		0 };
+	struct process_options process = { .name = "test",
+		.log_levels = "error" };
+	struct load_permit_options opts = { .process = &store.process,
+		.ops = &fake_ops,
+		.window_us = 5 * USEC_PER_SEC,
+		.overage = 1,
+		.offline_interval_us = 9 * USEC_PER_SEC,
+		.initial_limit = 4,
+		.granted = on_granted };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		struct load_permit *p;
+		unsigned loads = 0;
+
+		memset(&store, 0, sizeof(store));
+		store.accepts = true;
+		g_assert_cmpint(process_open(&store.process, &process), ==, 0);
+		clock_destroy(store.process.clock);
+		store.process.clock = clock_create_manual(100 * USEC_PER_SEC);
+		store.answer = evtimer_new(store.process.base, on_answer, NULL);
+		p = load_permit_create(&opts);
+		while (loads < 20 && is_granted(p)) {
+			loads++;
+			clock_advance(store.process.clock, 50 * USEC_PER_MSEC);
+		}
+		g_assert_cmpuint(loads, ==, 7); /* five, and two at once */
+		clock_step_wall(store.process.clock, steps[i]);
+		g_assert_false(is_granted(p));
+		clock_advance(store.process.clock, 10 * USEC_PER_SEC);
+		g_assert_true(is_granted(p));
+		event_free(store.answer);
+		load_permit_destroy(p);
+		process_close(&store.process);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/load_permit/expired_records_are_read_without_pause",
 	    test_expired_records_are_read_without_pause);
+	g_test_add_func("/load_permit/clock_steps_change_no_window",
+	    test_clock_steps_change_no_window);
 	return g_test_run();
 }
