gateway, test: a stream's progress is counted in events, by its route's goals

Cause, here: the silence time between two events was 2.5 s for every route, longer than callers of routes with tight goals wait (2 s for a goal of 150 ms), so that their stalled streams were resumed after the caller had left. The rest could not happen: the time restarts with each event, not with bytes, and the route's time-out ends what is not resumed.

Change: at most half of the pause after which callers of the route leave.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -294,24 +294,29 @@
 					     : LOAD_REQUEST_EXPIRY_US);
 }
 
-/*
- * Time until the caller stops waiting for the first event: callers abandon a
- * stream after a pause of several times its goals, and do so before it begins
- * as well.
- */
+int64_t
+exchange_abandon_us(const struct route *r)
+{
+	int64_t us = ABANDON_MIN_US;
+
+	if (us < ABANDON_GOALS * r->latency_goal_us)
+		us = ABANDON_GOALS * r->latency_goal_us;
+	if (us < ABANDON_GAPS * r->gap_goal_us)
+		us = ABANDON_GAPS * r->gap_goal_us;
+	return us;
+}
+
+/* Time until the caller stops waiting for the first event. */
 static int64_t
 first_event_left_us(const struct exchange *x)
 {
 	const struct route *r = x->route;
 	int64_t waited = clock_now(x->gateway->process.clock) - x->arrived_us;
-	int64_t left = exchange_left_us(x), abandon_us = ABANDON_MIN_US;
+	int64_t left = exchange_left_us(x);
+	int64_t abandon_us = exchange_abandon_us(r);
 
 	if (r->kind != ROUTE_STREAM || x->response_begun)
 		return left;
-	if (abandon_us < ABANDON_GOALS * r->latency_goal_us)
-		abandon_us = ABANDON_GOALS * r->latency_goal_us;
-	if (abandon_us < ABANDON_GAPS * r->gap_goal_us)
-		abandon_us = ABANDON_GAPS * r->gap_goal_us;
 	return left < abandon_us - waited ? left : abandon_us - waited;
 }
 
--- a/src/gateway/exchange_backend.c
+++ b/src/gateway/exchange_backend.c
@@ -24,7 +24,10 @@
 #define SILENCE_GOAL_SHARE 0.5
 #define SILENCE_AVG_ANSWERS 4 /* times the replica's avg_answer_us */
 #define SILENCE_PREDICTIONS 6 /* times the predicted time to a first token */
-/* Callers abandon a stream after a pause of about twice this. */
+/*
+ * Between two events, in which progress is counted: at most this, and half of
+ * the pause after which callers abandon the stream.
+ */
 #define SILENCE_BETWEEN_EVENTS_US (2500 * USEC_PER_MSEC)
 
 /* Gives back the prefill permit, or withdraws the request for one. */
@@ -105,6 +108,14 @@
 		    LF_I("for_us", b->outlier.ejected_until_us - now));
 }
 
+static int64_t
+between_events_us(const struct route *r)
+{
+	int64_t us = exchange_abandon_us(r) / 2;
+
+	return us < SILENCE_BETWEEN_EVENTS_US ? us : SILENCE_BETWEEN_EVENTS_US;
+}
+
 /* The silence time from now on; 0: unlimited. */
 static int64_t
 silence_us(const struct exchange *x)
@@ -116,7 +127,7 @@
 	    x->attempts >= x->route->max_attempts)
 		return 0;
 	if (x->code != 0 && x->relaying)
-		return SILENCE_BETWEEN_EVENTS_US;
+		return between_events_us(x->route);
 	if (x->route->kind == ROUTE_STREAM)
 		return latency_goal_us > SILENCE_PREDICTIONS * x->predicted_us
 			   ? latency_goal_us
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -94,6 +94,11 @@
  * it.  May free the exchange.
  */
 void exchange_dispatch(struct exchange *);
+/*
+ * The pause after which callers abandon a stream of the route, also before it
+ * begins.
+ */
+int64_t exchange_abandon_us(const struct route *);
 /*
  * Whether the request can end before a stopping gateway must.  Otherwise it is
  * refused, which frees the exchange.
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -350,6 +350,47 @@
 	fleet_stop();
 }
 
+#define STREAM_TIMEOUT_S 10 /* of the route of streams */
+
+/*
+ * A stream that stalls is resumed elsewhere although its replica still sends a
+ * byte now and then, and ends by its route's time-out if it stalls again; a
+ * slow one that goes on is not cut.
+ */
+static void
+test_progress_is_counted_in_events(void)
+{
+	struct response resp;
+	int64_t runs;
+	int r;
+
+	fleet_start();
+	fleet_set_faults(fleet.engines, FLEET_ENGINES,
+	    "{\"trickle_after\": 2, \"event_ms\": 100}");
+	r = fleet_request(&resp, 0, "/stream/1", "m1");
+	g_test_message("resumed after %.1f s", resp.seconds);
+	g_assert_true(fleet_is_complete_stream(&resp, r));
+	g_assert_cmpfloat(resp.seconds, <, STREAM_TIMEOUT_S / 2);
+	response_clear(&resp);
+	fleet_set_faults(
+	    fleet.engines, FLEET_ENGINES, "{\"trickle_resumed\": true}");
+	(void)fleet_request(&resp, 0, "/stream/1", "m1");
+	g_test_message("ended after %.1f s", resp.seconds);
+	g_assert_true(resp.cut);
+	g_assert_cmpfloat(resp.seconds, <, STREAM_TIMEOUT_S + 0.5);
+	response_clear(&resp);
+	fleet_set_faults(fleet.engines, FLEET_ENGINES,
+	    "{\"trickle_after\": 0, \"event_ms\": 900}");
+	runs = fleet_sum_journals(fleet.engines, FLEET_ENGINES, "runs");
+	r = fleet_request(&resp, 0, "/stream/1", "m1");
+	g_assert_true(fleet_is_complete_stream(&resp, r));
+	g_assert_cmpint(
+	    fleet_sum_journals(fleet.engines, FLEET_ENGINES, "runs"), ==,
+	    runs + 1);
+	response_clear(&resp);
+	fleet_stop();
+}
+
 static bool
 serves_new_route(void *ctx)
 {
@@ -925,6 +966,8 @@
 	g_test_add_func("/gateway/runs_once", test_runs_once);
 	g_test_add_func("/gateway/refusals", test_refusals);
 	g_test_add_func("/gateway/silent_replica", test_silent_replica);
+	g_test_add_func("/gateway/progress_is_counted_in_events",
+	    test_progress_is_counted_in_events);
 	g_test_add_func("/gateway/configuration", test_configuration_and_drain);
 	g_test_add_func("/gateway/forgotten_read_leaves_gateway_deaf",
 	    test_forgotten_read_leaves_gateway_deaf);
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -64,6 +64,7 @@
 	bool over_limit;
 	const char *accept_id; /* discards answers with another "Id" */
 	bool takes_chunks; /* but drains none of them */
+	bool new_connection; /* for each call */
 	int64_t timeout_us; /* of calls; 0: CALL_TIMEOUT_S */
 	int64_t stall_us; /* of calls */
 	size_t most_held; /* bytes that the client held for a call */
@@ -242,6 +243,7 @@
 		.timeout_us = f->timeout_us != 0 ? f->timeout_us
 						 : CALL_TIMEOUT_S * 1000000LL,
 		.stall_us = f->stall_us,
+		.new_connection = f->new_connection,
 		.on_headers = on_headers,
 		.on_chunk = f->takes_chunks ? on_chunk : NULL,
 		.on_done = on_done,
@@ -303,6 +305,16 @@
 	g_assert_cmpuint(f.connections, ==, 2);
 	close_fixture(&f);
 
+	/* Calls of servers that name no request, such as plain services. */
+	open_fixture(&f, late);
+	f.new_connection = true;
+	call(&f);
+	f.script = at_once;
+	call(&f);
+	g_assert_cmpstr(f.body, ==, "b");
+	g_assert_cmpuint(f.connections, ==, 2);
+	close_fixture(&f);
+
 	open_fixture(&f, late);
 	call(&f);
 	f.accept_id = "b";
