gateway, sidecar: sidecars that no gateway follows do not read the deployment

Cause: each gateway follows four sidecars of its own choice, so that 68 gateways follow nearly all of 78, and every sidecar read the store anyway.

Change: gateways prefer a common pool of sidecars; one that nobody follows pauses its feed as gateways do, and takes changes from them.

Tests: /config_changes/* as before.

--- a/src/gateway/deployment_source.c
+++ b/src/gateway/deployment_source.c
@@ -13,6 +13,10 @@
 #include "protocol/tm_xdr.h"
 #include "transport/rpc.h"
 
+/* Sidecars that gateways follow first: this many, or a share of all. */
+#define POOL_MIN 6
+#define POOL_DIVISOR 5
+
 static bool
 is_connected(const struct backend *b)
 {
@@ -48,17 +52,45 @@
 		b->reads_store = false;
 }
 
-/* Gateways choose differently, so that no sidecar has many followers. */
 static uint64_t
-weight(const struct gateway *g, const struct backend *b)
+weight(uint64_t seed, const struct backend *b)
 {
-	uint64_t seed = XXH3_64bits(g->settings.vm, strlen(g->settings.vm));
-
 	return XXH3_64bits_withSeed(b->entry.id, strlen(b->entry.id), seed);
 }
 
-/* Follows the sidecar with the highest weight of those that are not followed.
+/*
+ * Whether all gateways prefer this sidecar: those that none follows need not
+ * read the store.
  */
+static bool
+is_in_pool(const struct gateway *g, const struct backend *candidate)
+{
+	struct backend *b = NULL;
+	unsigned connected = 0, higher = 0;
+
+	while ((b = backends_next(g->backends, b)) != NULL) {
+		if (!is_connected(b))
+			continue;
+		connected++;
+		higher += weight(0, b) > weight(0, candidate);
+	}
+	return higher < POOL_MIN || higher < connected / POOL_DIVISOR;
+}
+
+/*
+ * Within the pool gateways choose differently, so that no sidecar has many
+ * followers.
+ */
+static bool
+is_preferred(
+    const struct gateway *g, const struct backend *a, const struct backend *b)
+{
+	uint64_t seed = XXH3_64bits(g->settings.vm, strlen(g->settings.vm));
+	bool a_pool = is_in_pool(g, a), b_pool = is_in_pool(g, b);
+
+	return a_pool != b_pool ? a_pool : weight(seed, a) > weight(seed, b);
+}
+
 static void
 follow_one(struct gateway *g)
 {
@@ -66,7 +98,7 @@
 
 	while ((b = backends_next(g->backends, b)) != NULL) {
 		if (is_connected(b) && !b->followed &&
-		    (best == NULL || weight(g, b) > weight(g, best)))
+		    (best == NULL || is_preferred(g, b, best)))
 			best = b;
 	}
 	if (best != NULL)
@@ -80,7 +112,7 @@
 
 	while ((b = backends_next(g->backends, b)) != NULL) {
 		if (is_connected(b) && b->followed && b->reads_store &&
-		    (worst == NULL || weight(g, b) < weight(g, worst)))
+		    (worst == NULL || is_preferred(g, worst, b)))
 			worst = b;
 	}
 	if (worst != NULL)
--- a/src/sidecar/gateway_conns.c
+++ b/src/sidecar/gateway_conns.c
@@ -30,6 +30,8 @@
 #define PREFILL_TOKENS_PER_MS 38.0 /* of the engines in use */
 #define PREFILL_PERMIT_US (2 * USEC_PER_SEC) /* a permit expires then */
 #define USES_PER_GATEWAY 256 /* further ones are ignored */
+/* One gateway alone may be cut off from what others follow. */
+#define UNFOLLOWED_MIN_GATEWAYS 2
 
 static void on_replica_use(void *, struct rpc_call *, void *);
 static void on_load_request(void *, struct rpc_call *, void *);
@@ -394,6 +396,18 @@
 	send_state(gws, gw);
 }
 
+bool
+gateway_conns_unfollowed(const struct gateway_conns *gws)
+{
+	const struct gateway_conn *gw;
+
+	TAILQ_FOREACH(gw, &gws->list, link) {
+		if (gw->follows || !gw->chooses)
+			return false;
+	}
+	return gws->count >= UNFOLLOWED_MIN_GATEWAYS;
+}
+
 void
 gateway_conns_send_states(struct gateway_conns *gws)
 {
--- a/src/sidecar/gateway_conns.h
+++ b/src/sidecar/gateway_conns.h
@@ -11,6 +11,7 @@
 #ifndef SIDECAR_GATEWAY_CONNS_H
 #define SIDECAR_GATEWAY_CONNS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct gateway_conns;
@@ -34,6 +35,12 @@
  * to the gateways that follow it.  Call it after each change of the deployment.
  */
 void gateway_conns_send_states(struct gateway_conns *);
+
+/*
+ * Whether no gateway takes the deployment from this sidecar, and several are
+ * connected that have said so.
+ */
+bool gateway_conns_unfollowed(const struct gateway_conns *);
 /*
  * Answers waiting requests for prefill permits, and announces a new
  * deployment's version: to gateways that follow this sidecar, and to those that
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -22,6 +22,10 @@
 
 #define TICK_US (100 * USEC_PER_MSEC)
 #define LONG_POLL_US (25 * USEC_PER_SEC) /* longest wait of a store read */
+/* Between checks of the deployment's topic; of its end while paused. */
+#define CHECK_PAUSE_US (30 * USEC_PER_SEC)
+/* Gateways that connect choose whom they follow within this time. */
+#define PAUSE_AFTER_US (3 * USEC_PER_SEC)
 
 #define AT(field) offsetof(struct sidecar_settings, field)
 
@@ -86,7 +90,7 @@
 bool
 sidecar_reads_store(const struct sidecar *sc)
 {
-	return sc->deployment_feed != NULL &&
+	return sc->deployment_feed != NULL && !sc->deployment_paused &&
 	       keyed_feed_complete(sc->deployment_feed) &&
 	       keyed_feed_contact_since(sc->deployment_feed) != -1;
 }
@@ -124,9 +128,29 @@
 }
 
 static bool
-never(void *ctx)
+is_paused(void *ctx)
+{
+	const struct sidecar *sc = ctx;
+
+	return sc->deployment_paused;
+}
+
+/*
+ * While no gateway takes the deployment from this sidecar, gateways bring it:
+ * each message of theirs tells its version.
+ */
+static void
+update_pause(struct sidecar *sc)
 {
-	return false;
+	int64_t now = clock_now(sc->process.clock);
+
+	if (!gateway_conns_unfollowed(sc->gateway_conns))
+		sc->unfollowed_us = 0;
+	else if (sc->unfollowed_us == 0)
+		sc->unfollowed_us = now;
+	sc->deployment_paused =
+	    sc->unfollowed_us != 0 && now - sc->unfollowed_us >= PAUSE_AFTER_US;
+	keyed_feed_pause(sc->deployment_feed, sc->deployment_paused);
 }
 
 static void
@@ -209,6 +233,7 @@
 	process_timer_add(sc->tick, TICK_US);
 	deployment_sync_tick(sc->deployment_sync);
 	gateway_conns_tick(sc->gateway_conns);
+	update_pause(sc);
 }
 
 static int
@@ -226,6 +251,7 @@
 		.name = "deployment",
 		.poll_us = LONG_POLL_US,
 		.check = true,
+		.check_pause_us = CHECK_PAUSE_US,
 		.newest_only = true,
 		.record = deployment_sync_on_record,
 		.snapshot_begin = ignore_snapshot,
@@ -237,7 +263,7 @@
 		.changed = on_deployment,
 		.received = on_deployment_received,
 		.store_answers = store_answers,
-		.peers_first = never,
+		.peers_first = is_paused,
 		.ctx = sc,
 	};
 
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -47,6 +47,8 @@
 	void *store; /* the driver's client of it */
 	void *replica; /* the driver's client of it */
 	struct keyed_feed *deployment_feed;
+	bool deployment_paused; /* its feed, as gateways bring the deployment */
+	int64_t unfollowed_us; /* since when; 0: a gateway follows */
 	struct deployment_sync *deployment_sync;
 	struct deployment *deployment; /* active; NULL until the first one */
 	struct http_server *metrics_http;
