gateway, coordination: what waits for the weight store is not held up by loads ahead

Change: free memory is filled from memory or disk only; a slow load counts as one of all that were allowed at its begin.

Tests: /load_concurrency/counts_later_loads.

--- a/src/coordination/load_concurrency.c
+++ b/src/coordination/load_concurrency.c
@@ -71,13 +71,16 @@
 
 void
 load_concurrency_learn(struct load_concurrency *l, unsigned running,
-    int64_t load_us, int64_t took_us, int64_t now_us)
+    unsigned allowed, int64_t load_us, int64_t took_us, int64_t now_us)
 {
 	double ratio = (double)took_us / (double)load_us;
 
 	if (load_us <= 0 || running == 0)
 		return;
 	if (ratio > SLOW_RATIO) {
+		/* Loads that began later, up to the limit, have slowed it. */
+		if (running < allowed)
+			running = allowed;
 		set_limit(l, (unsigned)((double)running / ratio + 0.5));
 		l->learned_us = now_us;
 	} else if (running >= l->limit &&
--- a/src/coordination/load_concurrency.h
+++ b/src/coordination/load_concurrency.h
@@ -48,10 +48,10 @@
     struct load_concurrency *, unsigned limit, int64_t learned_us);
 
 /*
- * Updates the limit from a load that started as one of `running` loads, took
- * took_us and takes load_us without concurrent loads.
+ * Updates the limit from a load that started as one of `running` loads while
+ * `allowed` might run, took took_us and takes load_us without concurrent loads.
  */
 void load_concurrency_learn(struct load_concurrency *, unsigned running,
-    int64_t load_us, int64_t took_us, int64_t now_us);
+    unsigned allowed, int64_t load_us, int64_t took_us, int64_t now_us);
 
 #endif
--- a/src/coordination/load_permit.c
+++ b/src/coordination/load_permit.c
@@ -41,6 +41,7 @@
 	struct load_concurrency concurrency;
 	int64_t load_us; /* of the requested load, without concurrent ones */
 	unsigned concurrent; /* running loads at the grant; 0: unknown */
+	unsigned granted_limit; /* concurrent loads that were allowed then */
 	struct event *retry;
 	struct rng rng;
 	double rate; /* loads a second */
@@ -132,6 +133,7 @@
 	case FLEET_OK:
 		now = clock_common(p->opts.process->clock);
 		load_window_record(&p->window, now);
+		p->granted_limit = p->concurrency.limit;
 		p->concurrent =
 		    load_concurrency_begin(&p->concurrency, now, p->load_us);
 		p->log_end = batch->end;
@@ -270,8 +272,8 @@
 {
 	unsigned before = p->concurrency.limit;
 
-	load_concurrency_learn(&p->concurrency, p->concurrent, p->load_us,
-	    took_us, clock_common(p->opts.process->clock));
+	load_concurrency_learn(&p->concurrency, p->concurrent, p->granted_limit,
+	    p->load_us, took_us, clock_common(p->opts.process->clock));
 	if (p->concurrency.limit != before)
 		log_info(p->opts.process->logger, "loads at full speed",
 		    LF_I("concurrent", p->concurrency.limit),
--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -21,8 +21,6 @@
 /* Requests per second from which a model must survive a replica's loss. */
 #define SCALE_OUT_RATE 0.5
 #define SCALE_OUT_REPLICAS 2 /* that such a model should have */
-/* Longer than a load from memory or disk, shorter than from the store. */
-#define SCALE_OUT_LOAD_MAX_US 1500000
 /* Cost of a failed request: time until it is detected and sent again. */
 #define FAILURE_US 300000
 /* About the time until a full replica has a free slot. */
@@ -198,7 +196,8 @@
     const struct select_replica *replicas, size_t count)
 {
 	const struct scale_out none = { 0, 0 };
-	struct scale_out plan = { SCALE_OUT_LOAD_MAX_US, VICTIM_WARM_US };
+	struct scale_out plan = { SELECT_SCALE_OUT_LOAD_MAX_US,
+		VICTIM_WARM_US };
 	unsigned copies = 0, limited = 0;
 	bool idle = false;
 
--- a/src/coordination/selection.h
+++ b/src/coordination/selection.h
@@ -19,6 +19,8 @@
 
 /* load_us of a replica that cannot load the model. */
 #define SELECT_LOAD_NEVER (-1)
+/* Longer than a load from memory or disk, shorter than from the store. */
+#define SELECT_SCALE_OUT_LOAD_MAX_US 1500000
 
 struct prompt_part;
 
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -290,10 +290,14 @@
 	return false;
 }
 
-/* Returns false if no replica would evict nothing that was used since then. */
+/*
+ * Requests a load that takes load_max_us at most and evicts nothing that was
+ * used within victim_idle_us.  Returns false if no replica can load it so.
+ */
 static bool
 load_unused(struct gateway *g, const struct service_spec *service,
-    const struct model_spec *model, int64_t victim_idle_us, const char *why)
+    const struct model_spec *model, int64_t load_max_us, int64_t victim_idle_us,
+    const char *why)
 {
 	static struct request_params params; /* the query points into it */
 	struct candidates *c;
@@ -302,7 +306,8 @@
 	strlcpy(params.model, model->name, sizeof(params.model));
 	c = candidates_list(g, service, &params, NULL, 0);
 	for (size_t i = 0; i < c->count; i++) {
-		if (c->replicas[i].victim_idle_us < victim_idle_us)
+		if (c->replicas[i].victim_idle_us < victim_idle_us ||
+		    c->replicas[i].load_us > load_max_us)
 			c->replicas[i].usable = false;
 	}
 	choice = select_replica(&c->query, c->replicas, c->count);
@@ -326,8 +331,8 @@
 		if (has_any_copy(g, s, spec->name)) {
 			note_seen(g, spec->name);
 		} else if (was_seen(g, spec->name)) {
-			(void)load_unused(g, s, spec, RELOAD_VICTIM_IDLE_US,
-			    "model has no copy left");
+			(void)load_unused(g, s, spec, INT64_MAX,
+			    RELOAD_VICTIM_IDLE_US, "model has no copy left");
 			return;
 		}
 	}
@@ -348,7 +353,10 @@
 	return false;
 }
 
-/* Requests the load of a model in demand that no replica has loaded. */
+/*
+ * Requests the load of a model in demand that no replica has loaded; not from
+ * the weight store, which requests that wait need.
+ */
 static void
 fill_memory(struct gateway *g, const struct service_spec *s, int64_t now)
 {
@@ -360,7 +368,8 @@
 		if (model_rates_get(g->request_rates, spec->name, now) >=
 			FILL_RATE &&
 		    !is_placed(g, s, spec->name) &&
-		    load_unused(g, s, spec, INT64_MAX, "memory is free"))
+		    load_unused(g, s, spec, SELECT_SCALE_OUT_LOAD_MAX_US,
+			INT64_MAX, "memory is free"))
 			return;
 	}
 }
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -741,7 +741,8 @@
 			if (end_us[i] == 0 || end_us[i] > now)
 				continue;
 			load_concurrency_learn(l, running_at_start[i],
-			    FULL_SPEED_LOAD_US, end_us[i] - started_us[i], now);
+			    running_at_start[i], FULL_SPEED_LOAD_US,
+			    end_us[i] - started_us[i], now);
 			if (end_us[i] - started_us[i] > longest)
 				longest = end_us[i] - started_us[i];
 			end_us[i] = 0;
@@ -794,6 +795,28 @@
 	g_assert_cmpuint(l.limit, >, initial);
 }
 
+/*
+ * Two loads of a store that serves two at full speed, of four at once: those
+ * that began first are slowed by those that followed.
+ */
+static void
+test_load_concurrency_counts_later_loads(void)
+{
+	struct load_concurrency l;
+
+	load_concurrency_init(&l, 4);
+	load_concurrency_learn(
+	    &l, 2, 4, FULL_SPEED_LOAD_US, FULL_SPEED_LOAD_US * 2, 5000000);
+	g_assert_cmpuint(l.limit, ==, 2);
+	/* Begun under the old limit, and late for the same reason. */
+	load_concurrency_learn(
+	    &l, 2, 4, FULL_SPEED_LOAD_US, FULL_SPEED_LOAD_US * 2, 9000000);
+	g_assert_cmpuint(l.limit, ==, 2);
+	load_concurrency_learn(
+	    &l, 1, 2, FULL_SPEED_LOAD_US, FULL_SPEED_LOAD_US, 15000000);
+	g_assert_cmpuint(l.limit, ==, 2);
+}
+
 /* A limit learned later by another daemon is adopted, an initial one is not. */
 static void
 test_load_concurrency_adopts(void)
@@ -808,10 +831,10 @@
 	g_assert_cmpuint(l.limit, ==, 2);
 	/* The limit is raised only some time after a slow load last set it. */
 	load_concurrency_learn(
-	    &l, 2, FULL_SPEED_LOAD_US, FULL_SPEED_LOAD_US, 15000000);
+	    &l, 2, 2, FULL_SPEED_LOAD_US, FULL_SPEED_LOAD_US, 15000000);
 	g_assert_cmpuint(l.limit, ==, 2);
 	load_concurrency_learn(
-	    &l, 2, FULL_SPEED_LOAD_US, FULL_SPEED_LOAD_US, 95000000);
+	    &l, 2, 2, FULL_SPEED_LOAD_US, FULL_SPEED_LOAD_US, 95000000);
 	g_assert_cmpuint(l.limit, ==, 3);
 }
 
@@ -1061,6 +1084,8 @@
 	g_test_add_func("/load_concurrency", test_load_concurrency);
 	g_test_add_func(
 	    "/load_concurrency/adopts", test_load_concurrency_adopts);
+	g_test_add_func("/load_concurrency/counts_later_loads",
+	    test_load_concurrency_counts_later_loads);
 	g_test_add_func("/load_alone", test_load_offline);
 	g_test_add_func("/load_window", test_load_window);
 	g_test_add_func("/outlier", test_outlier);
