coordination: no second load of a model from the weight store beside the first

Cause: three replicas loaded it from the weight store, begun 2.7 and 2.2 s apart, and two loaded another model, 0.2 s apart, where the store serves two loads at full speed: they took 15.6 and 19.5 s. The time left of a load in progress counts those beside it, a new one is predicted as if it were alone, so that it looked sooner. Gateways of different data centres chose different replicas.

Change: such a load costs more than to wait for the one in progress, and the data centre counts nothing for loads from the store.

--- a/src/coordination/selection.c
+++ b/src/coordination/selection.c
@@ -56,6 +56,28 @@
 			 TIE_BREAK_US);
 }
 
+static bool
+is_store_load(const struct select_replica *r)
+{
+	return r->load_us > SELECT_SCALE_OUT_LOAD_MAX_US && !r->loading;
+}
+
+/* Until the first load of the model in progress ends; 0: there is none. */
+static int64_t
+loading_left_us(const struct select_replica *replicas, size_t count)
+{
+	int64_t least = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct select_replica *r = &replicas[i];
+
+		if (r->usable && r->loading && r->load_us > 0 &&
+		    (least == 0 || r->load_us < least))
+			least = r->load_us;
+	}
+	return least;
+}
+
 static int64_t
 predict_first_us(const struct select_query *q, const struct select_replica *r)
 {
@@ -135,7 +157,8 @@
 {
 	int64_t us = tie_break_us(q, r);
 
-	if (!r->same_zone)
+	/* All gateways choose alike where a load takes long. */
+	if (!r->same_zone && !is_store_load(r))
 		us += OTHER_ZONE_US;
 	if (r->limited)
 		us += LIMITED_US;
@@ -153,6 +176,7 @@
 {
 	struct select_choice best = { .index = -1 };
 	int64_t best_cost = 0, saved_us;
+	int64_t loading_us = loading_left_us(replicas, count);
 	int preferred = find_preferred(q, replicas, count, &saved_us);
 
 	for (size_t i = 0; i < count; i++) {
@@ -166,6 +190,10 @@
 		cost = us + side_cost_us(q, r);
 		if ((int)i == preferred)
 			cost -= saved_us;
+		/* The store would serve both more slowly. */
+		if (is_store_load(r) && r->load_us <= loading_us)
+			cost += loading_us - r->load_us + TIE_BREAK_US +
+				VICTIM_PENALTY_US;
 		if (best.index != -1 && cost >= best_cost)
 			continue;
 		best.index = (int)i;
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -163,6 +163,38 @@
 	g_assert_cmpint(select_scale_out(&q, r, 3), ==, -1);
 }
 
+/*
+ * The weight store serves two loads at full speed, and a model without a copy
+ * is being loaded late, beside others: a second load of it would be as late and
+ * delay the first.
+ */
+static void
+test_no_second_load_from_store(void)
+{
+	struct select_query q = long_prompt;
+	struct select_replica r[] = { replica("a"), replica("b"),
+		replica("c") };
+	int first;
+
+	r[0].load_us = 11700000;
+	r[0].loading = true;
+	r[0].same_zone = false;
+	r[1].load_us = 7800000;
+	r[2].load_us = 7800000;
+	g_assert_cmpint(select_replica(&q, r, 3).index, ==, 0);
+	r[2].load_us = 840000; /* a copy on disk */
+	g_assert_cmpint(select_replica(&q, r, 3).index, ==, 2);
+	r[2].load_us = 7800000;
+	r[0].usable = false;
+	g_assert_cmpint(select_replica(&q, r, 3).index, !=, 0);
+	/* Gateways of different data centres choose alike. */
+	r[1].same_zone = false;
+	first = select_replica(&q, r, 3).index;
+	r[1].same_zone = true;
+	r[2].same_zone = false;
+	g_assert_cmpint(select_replica(&q, r, 3).index, ==, first);
+}
+
 /* To survive a loss is not worth the last copy of a model in use. */
 static void
 test_scale_out_keeps_models_in_use(void)
@@ -1061,6 +1093,8 @@
 	g_test_add_func("/selection/spread", test_scale_out);
 	g_test_add_func(
 	    "/selection/spread_counts_loads", test_scale_out_counts_loads);
+	g_test_add_func("/selection/no_second_load_from_store",
+	    test_no_second_load_from_store);
 	g_test_add_func("/selection/spread_keeps_models_in_use",
 	    test_scale_out_keeps_models_in_use);
 	g_test_add_func("/read_gate/batch_follows_gap_goal",
