gateway: silence ends a call only if another replica can go on

In the code a replica that sends nothing for 2.5 s lost the call first, and only then was another one looked for; without one the response was cut.

Change: the call goes on, and the silence is judged again later, unless another replica can take the request now.

Test: /gateway/stalled_stream_is_cut: the only replica stalls for 5 s; cut before, whole now.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -268,6 +268,21 @@
 	return choice;
 }
 
+bool
+exchange_has_alternative(struct exchange *x)
+{
+	const struct service_spec *service =
+	    deployment_find_service(x->deployment, x->service);
+	struct choice choice;
+
+	if (service == NULL)
+		return false;
+	choice = choose_backend(x, service);
+	return choice.backend != NULL && choice.backend != x->backend &&
+	       choice.selected.load_us == 0 && choice.quiet_us == 0 &&
+	       choice.selected.first_us <= exchange_left_us(x);
+}
+
 static void
 request_load(struct exchange *x, struct backend *b)
 {
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -87,7 +87,14 @@
 {
 	struct exchange *x = arg;
 
-	if (x->call == NULL || !take_retry(x))
+	if (x->call == NULL)
+		return;
+	/* Silence alone is no reason to end an answer that may still come. */
+	if (!exchange_has_alternative(x)) {
+		exchange_arm_silence_timer(x);
+		return;
+	}
+	if (!take_retry(x))
 		return;
 	exchange_count_silence(x);
 	x->may_have_run = true;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -94,6 +94,8 @@
  * it.  May free the exchange.
  */
 void exchange_dispatch(struct exchange *);
+/* Whether a replica that was not tried can run the request now. */
+bool exchange_has_alternative(struct exchange *);
 /*
  * The pause after which callers abandon a stream of the route, also before it
  * begins.
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -661,6 +661,29 @@
 	return GINT_TO_POINTER(fleet_request(response, 0, "/stream/1", "m1"));
 }
 
+#define STALL_MS 5000 /* longer than the silence time */
+
+/* The only replica stalls for a while: there is nowhere else to resume. */
+static void
+test_stalled_stream_is_cut(void)
+{
+	struct response resp = { 0 };
+	GThread *thread;
+	int r;
+
+	fleet_start();
+	fleet_write_key("keyed.servers", fleet.engines[0].id, NULL);
+	await_true(has_one_engine, &fleet.gateways[0], "one engine");
+	fleet_set_faults(fleet.engines, FLEET_ENGINES, "{\"stall_after\": 2}");
+	thread = g_thread_new("caller", request_stream, &resp);
+	sleep_ms(STALL_MS);
+	fleet_set_faults(fleet.engines, FLEET_ENGINES, "{\"stall_after\": 0}");
+	r = GPOINTER_TO_INT(g_thread_join(thread));
+	g_assert_true(fleet_is_complete_stream(&resp, r));
+	response_clear(&resp);
+	fleet_stop();
+}
+
 static bool
 accepts_connections(void *http_address)
 {
@@ -966,6 +989,8 @@
 	g_test_add_func("/gateway/runs_once", test_runs_once);
 	g_test_add_func("/gateway/refusals", test_refusals);
 	g_test_add_func("/gateway/silent_replica", test_silent_replica);
+	g_test_add_func(
+	    "/gateway/stalled_stream_is_cut", test_stalled_stream_is_cut);
 	g_test_add_func("/gateway/progress_is_counted_in_events",
 	    test_progress_is_counted_in_events);
 	g_test_add_func("/gateway/configuration", test_configuration_and_drain);
