--- a/src/coordination/spares.h
+++ b/src/coordination/spares.h
@@ -1,5 +1,5 @@
 /*
- * spares -- tells which loaded models are also loaded on another replica.
+ * spares -- names the loaded models that another replica has loaded too.
  *
  * Gateways report them to the sidecars, which know only their own replica: a
  * spare is evicted before the last copy of another model, whose next request
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -137,7 +137,7 @@
 
 /*
  * While no gateway takes the deployment from this sidecar, gateways bring it:
- * each message of theirs tells its version.
+ * each message of theirs states its version.
  */
 static void
 update_pause(struct sidecar *sc)
