review: empty lines without end exhaust a gateway's memory

A runner in trouble writes empty lines without end into one stream; the gateway exceeds its 260 MB within half a second and is killed, with ten bookings in flight that sound runners run. Ruled out, by hand and with 40 requests at once: endless heads, header names and values, interim answers, chunk extensions, trailers, bodies of plain answers, answers to another request; the gateway stayed below 110 MB with each. The earlier cases move down, as the gravest is first.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A client asks with HEAD while all runners of the service are down, and later
-# sends another lookup on the same connection.  With TROUBLE=0 the runners stay.
+# Requests whose bodies contain another request, in two forms.  With TROUBLE=0
+# the bodies are as long and contain no request.
 . "$(dirname "$0")/../lib.sh"
 
 begin
@@ -11,47 +11,46 @@
 for i in 5 6 7; do start_runner $i; done
 start_gateway 2
 
-# read_into FILE SECONDS: what arrives on the connection within the time.
-read_into() { timeout "$2" cat <&7 >>"$1"; }
+# body ID: a booking with that id, or as many other bytes.
+body() {
+	local text
+	text=$'POST /book/1 HTTP/1.1\r\nHost: h.example\r\nTamarackmast-Request-Id: '$1
+	text+=$'\r\nTamarackmast-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n'
+	[ "$TROUBLE" = 0 ] && text=$(printf '%*s' ${#text} '' | tr ' ' x)
+	printf %s "$text."
+}
 
-broken=0
-for try in 1 2 3; do
-	: >"$WORK/answers"
+# send FORM ID METHOD LENGTH-HEADER: a lookup whose body is body(inside-ID).
+send() {
+	local inner
+	inner=$(body "inside-$2")
+	inner=${inner%.}
 	exec 7<>"/dev/tcp/127.0.0.2/$CALLER_PORT" || cannot_run "no connection"
-	if [ "$TROUBLE" != 0 ]; then
-		for i in 5 6 7; do
-			kill -KILL "${RUNNER_PID[$i]}"
-			wait "${RUNNER_PID[$i]}" 2>/dev/null
-		done
-		record "the runners of the service crash"
-	fi
-	printf 'HEAD /look/1 HTTP/1.1\r\nHost: h.example\r\nTamarackmast-Request-Id: head-%d\r\nTamarackmast-Deadline-Ms: 900\r\n\r\n' $try >&7
-	record "sent: HEAD /look/1, id head-$try"
-	read_into "$WORK/answers" 1.2
-	if [ "$TROUBLE" != 0 ]; then
-		for i in 5 6 7; do
-			mv "$WORK/runner-$i.txt" "$WORK/runner-$i-before-$try.txt"
-			drop keyed.servers "i-$i"
-			start_runner $i
-		done
-		record "the runners are back"
-		sleep 2.5
-	fi
-	printf 'GET /look/2 HTTP/1.1\r\nHost: h.example\r\nTamarackmast-Request-Id: get-%d\r\nTamarackmast-Deadline-Ms: 900\r\n\r\n' $try >&7
-	record "sent: GET /look/2, id get-$try, on the same connection"
-	read_into "$WORK/answers" 1
+	printf '%s /look/1 HTTP/1.1\r\nHost: h.example\r\nTamarackmast-Request-Id: %s\r\nTamarackmast-Deadline-Ms: 900\r\n%s %d\r\n\r\n%s' \
+		"$3" "$2" "$4" ${#inner} "$inner" >&7
+	record "sent: $1: $3 /look/1, id $2, '$4 ${#inner}', and a body of ${#inner} bytes"
+	timeout 1 cat <&7 >"$WORK/answer"
 	exec 7>&-
-	record "received on the connection:"
-	sed 's/\r$//; s/^/   | /' "$WORK/answers" >>"$RECORD"
-	echo >>"$RECORD"
-	head -1 "$WORK/answers" | grep -q '^HTTP/1.1 ' || cannot_run "no answer to head-$try"
-	# The answer to HEAD ends with its empty line: the next answer follows.
-	after=$(sed '1,/^\r$/d' "$WORK/answers" | head -c 9)
-	if [ -n "$after" ] && [ "$after" != "HTTP/1.1 " ]; then
-		record "MIXED: after the answer to head-$try come bytes that are no answer: $after.."
-		broken=1
-	fi
+	grep -aE '^HTTP/1|^Tamarackmast-Request-Id|done ' "$WORK/answer" | tr -d '\r' |
+		sed 's/^/   answered: /' >>"$RECORD"
+}
+
+for i in 1 2 3; do
+	send "a body after HEAD" "head-$i" HEAD 'Content-Length:'
+	send "a space before the colon" "space-$i" POST 'Content-Length :'
 done
+# The same body where it is expected: this one is a sound request.
+send "a body after POST" post-1 POST 'Content-Length:'
+
 record_journals
-[ $broken = 0 ] && record "held: only answers came on the connections"
+broken=0
+for id in head-{1..3} space-{1..3} post-1; do
+	n=$(runs_of "inside-$id")
+	[ "$n" = 0 ] || {
+		record "UNASKED: a runner ran inside-$id, which was a part of the body of $id"
+		broken=1
+	}
+done
+[ "$(runs_of post-1)" = 1 ] || cannot_run "the sound request did not run"
+[ $broken = 0 ] && record "held: no runner ran a request out of a body"
 exit $broken
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -115,14 +115,19 @@
 configure() {
 	put keyed.op config '{"version":1,"routes":[
 {"name":"book","host":"h.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":1000,"latency_goal_ms":100,"priority":2,"service":"termindienst","max_attempts":2},
-{"name":"look","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":1000,"latency_goal_ms":100,"priority":2,"service":"termindienst","max_attempts":2}],
-"services":[{"name":"termindienst","max_conns":96}],
+{"name":"look","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":1000,"latency_goal_ms":100,"priority":2,"service":"termindienst","max_attempts":2},
+{"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"latency_goal_ms":1000,"priority":1,"service":"sprachdienst","max_attempts":2,"sticky":true,"resumable":true,"gap_aim_ms":600}],
+"services":[{"name":"termindienst","health_path":"/health","max_conns":96},
+{"name":"sprachdienst","health_path":"/health","max_conns":360,"engine":{"slots":64,"kv_capacity":240783,"weights_mb":220000,"adapter_slots":8,"loads_per_s":2.1,"models":[{"name":"m1","weights_mb":65100,"load_s":6,"adapters":0,"adapter_mb":12}]}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":5000,"idle_timeout_ms":20000}}'
 }
 
-# entry ID ADDRESS STATE BORN: a runner's record, as it writes it.
+# entry ID ADDRESS STATE BORN [MODEL]: a runner's record, as it writes it.
 entry() {
-	put keyed.servers "$1" "{\"service\":\"termindienst\",\"address\":\"$2\",\"zone\":\"a\",\"version\":\"1\",\"slots\":6,\"state\":\"$3\",\"cold_left_ms\":0,\"born\":$4,\"seq\":0}"
+	local service=termindienst slots=6 models=
+	[ -n "${5:-}" ] && service=sprachdienst slots=64 &&
+		models=",\"stage\":\"colocated\",\"models\":[{\"name\":\"$5\",\"version\":1,\"adapters\":[]}]"
+	put keyed.servers "$1" "{\"service\":\"$service\",\"address\":\"$2\",\"zone\":\"a\",\"version\":\"1\",\"slots\":$slots,\"state\":\"$3\",\"cold_left_ms\":0$models,\"born\":$4,\"seq\":0}"
 }
 
 # start_gateway I: on 127.0.0.I; callers' port CALLER_PORT.
@@ -201,3 +206,23 @@
 }
 
 store_faults() { must http POST 127.0.0.1 "$STORE_PORT" /faults "$1"; }
+
+# start_engine I: a model runner on 127.0.0.I that holds the model m1, with the
+# sidecar beside it.
+start_engine() {
+	local ip=127.0.0.$1 born
+	born=$(now_ms)
+	launch "runner-$1" build/review/runner "$ip:$RUNNER_PORT" "i-$1" "$WORK/runner-$1.txt" m1 "$born"
+	RUNNER_PID[$1]=$LAUNCHED
+	await_port "$ip" "$RUNNER_PORT"
+	entry "i-$1" "$ip:$RUNNER_PORT" ready "$born" m1
+	sed -e "s/{{node_name}}/side-a-$1/" -e "s/{{zone}}/a/" \
+		-e "s/{{ip}}:{{port_range.0}}/$ip:$SIDECAR_PORT/" \
+		-e "s/{{ip}}:7381/$ip:$METRICS_PORT/" \
+		-e "s/{{platform.address}}/127.0.0.1:$STORE_PORT/" \
+		-e "s/{{app}}/$ip:$RUNNER_PORT/" -e "s/{{service}}/sprachdienst/" \
+		-e "s/{{bounds.ceiling_window_s}}/5/" -e "s/{{bounds.ceiling_overage}}/1.1/" \
+		deploy/sidecar.ini >"$WORK/sidecar-$1.ini"
+	launch "sidecar-$1" target/tamarackmast sidecar --config "$WORK/sidecar-$1.ini"
+	await_port "$ip" "$SIDECAR_PORT"
+}
--- a/review/runner.c
+++ b/review/runner.c
@@ -1,22 +1,27 @@
 /*
- * runner -- stand-in of a runner of a plain service, for the cases of the
- * review.  It speaks HTTP/1.1 as the platform's pages describe a runner: it
+ * runner -- stand-in of a runner of the platform, for the cases of the review.
+ * It speaks HTTP/1.1 as the platform's pages describe a runner: it
  * reads bodies with a length for any method, answers HEAD without a body,
  * echoes the request's id, seals what it ran, refuses with 421 what expects
  * another instance, and with 503 what it has no room for.
  *
- *	runner IP:PORT ID JOURNAL
+ *	runner IP:PORT ID JOURNAL [MODEL BORN]
  *
- * Each request that arrives is a line of the journal: the time in ms since the
- * epoch, "ran" or "refused",
- * the request's id, method and path, the length of its body, and its headers
- * Tamarackmast-Model, -Token-Count and -Prompt-Prefix, or "-".
+ * With a model it is a model runner that holds this model: it answers requests
+ * with a stream of events, and GET /-/report.  It takes no orders.
+ *
+ * Each request to run is a line of the journal: the time in ms since the epoch,
+ * "ran" or "refused", the request's id, method and path, the length of its
+ * body, and its headers Tamarackmast-Model, -Token-Count and -Prompt-Prefix, or
+ * "-".
  *
  * POST /-/set?NAME=VALUE, of the case only:
  *	full=1		refuse all requests: no room
  *	leaving=1	say in all answers that it leaves
  *	work_ms=N	time of a run
  *	exit=1		end, as a runner that has left
+ *	endless=1	be in trouble: streams go on with empty lines without
+ *			end, until the caller closes
  */
 #include <pthread.h>
 #include <stdbool.h>
@@ -36,6 +41,8 @@
 #define BUFFER_SIZE 65536
 #define HEAD_SIZE 1024
 #define FIELD_SIZE 256
+#define STREAM_EVENTS 10
+#define EVENT_MS 20
 
 struct request {
 	char method[16];
@@ -57,9 +64,11 @@
 };
 
 static const char *own_id;
+static const char *model; /* NULL: of a plain service */
+static long long born_ms;
 static FILE *journal;
 static pthread_mutex_t journal_lock = PTHREAD_MUTEX_INITIALIZER;
-static volatile bool full, leaving;
+static volatile bool full, leaving, endless;
 static volatile int work_ms = 15;
 
 static void
@@ -209,10 +218,61 @@
 		leaving = value != 0;
 	else if (strncmp(text, "work_ms=", 8) == 0)
 		work_ms = value;
+	else if (strncmp(text, "endless=", 8) == 0)
+		endless = value != 0;
 	else if (strncmp(text, "exit=", 5) == 0)
 		_exit(0);
 }
 
+static bool
+report(int fd)
+{
+	char body[HEAD_SIZE], out[2 * HEAD_SIZE];
+	int len = snprintf(body, sizeof(body),
+	    "{\"stage\":\"colocated\",\"models\":[{\"name\":\"%s\","
+	    "\"version\":1,\"adapters\":[]}],\"busy\":false,\"seq\":0,"
+	    "\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":240783,"
+	    "\"handles\":0,\"born\":%lld}",
+	    model, born_ms);
+
+	len = snprintf(out, sizeof(out),
+	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	    "Content-Length: %d\r\n\r\n%s",
+	    len, body);
+	return send(fd, out, (size_t)len, MSG_NOSIGNAL) == len;
+}
+
+/* The stream has neither a length nor chunks, and ends with the connection. */
+static bool
+stream(int fd, const struct request *r)
+{
+	static char lines[BUFFER_SIZE];
+	char out[HEAD_SIZE + FIELD_SIZE];
+	int len = snprintf(out, sizeof(out),
+	    "HTTP/1.1 200 OK\r\nTamarackmast-Request-Id: %s\r\n"
+	    "Tamarackmast-Instance-Id: %s\r\n"
+	    "Tamarackmast-Response-Seal: seal\r\n"
+	    "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+	    r->id, own_id);
+
+	note("ran", r);
+	memset(lines, '\n', sizeof(lines));
+	for (int i = 1; i <= STREAM_EVENTS; i++) {
+		if (send(fd, out, (size_t)len, MSG_NOSIGNAL) != len)
+			return false;
+		sleep_ms(EVENT_MS);
+		len = snprintf(
+		    out, sizeof(out), "id: %d\ndata: %s-%d\n\n", i, r->id, i);
+		if (endless && i == STREAM_EVENTS / 2) {
+			while (send(fd, lines, sizeof(lines), MSG_NOSIGNAL) > 0)
+				;
+			return false;
+		}
+	}
+	(void)send(fd, out, (size_t)len, MSG_NOSIGNAL);
+	return false;
+}
+
 /* Returns whether the connection is kept. */
 static bool
 handle(int fd, const struct request *r)
@@ -224,6 +284,10 @@
 		set(r->path + 7);
 		return answer(fd, r, 200, "", "set\n");
 	}
+	if (strcmp(r->path, "/health") == 0)
+		return answer(fd, r, 200, "", "");
+	if (model != NULL && strcmp(r->path, "/-/report") == 0)
+		return report(fd);
 	if (r->expected[0] != '\0' && strcmp(r->expected, own_id) != 0) {
 		note("refused", r);
 		return answer(fd, r, 421, refusal, "");
@@ -232,6 +296,8 @@
 		note("refused", r);
 		return answer(fd, r, full ? 503 : 400, refusal, "");
 	}
+	if (model != NULL)
+		return stream(fd, r);
 	note("ran", r);
 	sleep_ms(work_ms);
 	snprintf(body, sizeof(body), "done %s", r->id);
@@ -283,13 +349,19 @@
 int
 main(int argc, char **argv)
 {
-	int listener = argc == 4 ? listen_at(argv[1]) : -1, one = 1, fd;
+	int listener = argc == 4 || argc == 6 ? listen_at(argv[1]) : -1;
+	int one = 1, fd;
 
 	if (listener == -1) {
-		fprintf(stderr, "usage: runner IP:PORT ID JOURNAL\n");
+		fprintf(
+		    stderr, "usage: runner IP:PORT ID JOURNAL [MODEL BORN]\n");
 		return 2;
 	}
 	own_id = argv[2];
+	if (argc == 6) {
+		model = argv[4];
+		born_ms = atoll(argv[5]);
+	}
 	journal = fopen(argv[3], "w");
 	if (journal == NULL)
 		return 2;
