review: a runner runs a stream without some of its client's headers

Beyond some 92 headers the gateway leaves out what comes last, Tamarackmast-Prompt-Prefix or Tamarackmast-Token-Count too, although all are a tenth of max_header_bytes. The cases' configuration has the site's limits now.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -119,7 +119,7 @@
 {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"latency_goal_ms":1000,"priority":1,"service":"sprachdienst","max_attempts":2,"sticky":true,"resumable":true,"gap_aim_ms":600}],
 "services":[{"name":"termindienst","health_path":"/health","max_conns":96},
 {"name":"sprachdienst","health_path":"/health","max_conns":360,"engine":{"slots":64,"kv_capacity":240783,"weights_mb":220000,"adapter_slots":8,"loads_per_s":2.1,"models":[{"name":"m1","weights_mb":65100,"load_s":6,"adapters":0,"adapter_mb":12}]}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":5000,"idle_timeout_ms":20000}}'
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}'
 }
 
 # entry ID ADDRESS STATE BORN [MODEL]: a runner's record, as it writes it.
