review: a body after HEAD, and a space before a colon, as two cases

Rule UNASKED. The two ways to hide a request in another one have different causes, so that each has its own case: HEAD with a body, which is not read, and Content-Length with a space before its colon, which is not taken for the length.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -226,3 +226,43 @@
 	launch "sidecar-$1" target/tamarackmast sidecar --config "$WORK/sidecar-$1.ini"
 	await_port "$ip" "$SIDECAR_PORT"
 }
+
+# hidden ID: a booking with that id, as the body of another request; with
+# TROUBLE=0 as many bytes that contain no request.  It ends with a dot, which
+# isn't a part of it.
+hidden() {
+	local text
+	text=$'POST /book/1 HTTP/1.1\r\nHost: h.example\r\nTamarackmast-Request-Id: '$1
+	text+=$'\r\nTamarackmast-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n'
+	[ "$TROUBLE" = 0 ] && text=$(printf '%*s' ${#text} '' | tr ' ' x)
+	printf %s "$text."
+}
+
+# send_hiding ID METHOD HEADER: a lookup whose body is hidden(inside-ID); LEN in
+# the header stands for the length of the body.
+send_hiding() {
+	local body
+	body=$(hidden "inside-$1")
+	body=${body%.}
+	exec 7<>"/dev/tcp/127.0.0.2/$CALLER_PORT" || cannot_run "no connection"
+	printf '%s /look/1 HTTP/1.1\r\nHost: h.example\r\nTamarackmast-Request-Id: %s\r\nTamarackmast-Deadline-Ms: 900\r\n%s\r\n\r\n%s' \
+		"$2" "$1" "${3/LEN/${#body}}" "$body" >&7
+	record "sent: $2 /look/1, id $1, with '${3/LEN/${#body}}' and a body of ${#body} bytes"
+	timeout 1 cat <&7 >"$WORK/answer"
+	exec 7>&-
+	grep -aE '^HTTP/1|^Tamarackmast-Request-Id|done ' "$WORK/answer" | tr -d '\r' |
+		sed 's/^/   answered: /' >>"$RECORD"
+}
+
+# judge_hidden ID...: ends the case.
+judge_hidden() {
+	local id broken=0
+	record_journals
+	for id in "$@"; do
+		[ "$(runs_of "inside-$id")" = 0 ] && continue
+		record "UNASKED: a runner ran inside-$id, which was a part of the body of $id"
+		broken=1
+	done
+	[ $broken = 0 ] && record "held: no runner ran a request out of a body"
+	exit $broken
+}
