--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # A model runner in trouble writes empty lines without end into the body of one
 # stream.  With TROUBLE=0 it ends its stream as it should.
+RECORD=$(cd "$(dirname "$0")" && pwd)/record.txt
 . "$(dirname "$0")/../lib.sh"
 
 MEMORY_MB=260
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # HEAD with a body, which its Content-Length states, and which contains another
 # request.  With TROUBLE=0 the bodies are as long and contain no request.
+RECORD=$(cd "$(dirname "$0")" && pwd)/record.txt
 . "$(dirname "$0")/../lib.sh"
 
 begin
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,4 +1,5 @@
-# Functions that the cases share.  A case sources this file from its run.sh.
+# Functions that the cases share.  A case sources this file from its run.sh, with
+# RECORD set to the record that it writes.
 #
 # It starts a small deployment on loopback: the store's stand-in, stand-ins of
 # the runners of one plain service, and gateways with the command of
@@ -8,8 +9,6 @@
 # Exit codes of a case: 0 the rule held, 1 it was broken, 2 it could not run.
 
 TOP=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-CASE=$(cd "$(dirname "$0")" && pwd)
-RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
 WORK=
 PIDS=()
