review: a crash of a runner makes a stream without a length look complete

There a proxy closed the connection; here the runner's process is killed, one of seven, and the caller gets 25 of 58 events as a complete answer. It takes the place of the space before a colon, which is now the second form of case 2.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# HEAD with a body, which its Content-Length states, and which contains another
-# request.  With TROUBLE=0 the bodies are as long and contain no request.
+# Requests whose bodies contain another request, in two forms: HEAD with a body
+# that its Content-Length states, and POST with a space before the colon of
+# Content-Length.  With TROUBLE=0 the bodies are as long and contain no request.
 RECORD=$(cd "$(dirname "$0")" && pwd)/record.txt
 . "$(dirname "$0")/../lib.sh"
 
@@ -15,7 +16,6 @@
 # The same body where callers usually have one.
 send_hiding post-1 POST 'Content-Length: LEN'
 [ "$(runs_of post-1)" = 1 ] || cannot_run "the sound request did not run"
-for i in 1 2 3; do
-	send_hiding head-$i HEAD 'Content-Length: LEN'
-done
-judge_hidden post-1 head-{1..3}
+for i in 1 2 3; do send_hiding head-$i HEAD 'Content-Length: LEN'; done
+for i in 1 2 3; do send_hiding space-$i POST 'Content-Length : LEN'; done
+judge_hidden post-1 head-{1..3} space-{1..3}
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -206,15 +206,20 @@
 
 store_faults() { must http POST 127.0.0.1 "$STORE_PORT" /faults "$1"; }
 
-# start_engine I: a model runner on 127.0.0.I that holds the model m1, with the
-# sidecar beside it.
-start_engine() {
+# start_model_runner I: on 127.0.0.I; it holds the model m1.
+start_model_runner() {
 	local ip=127.0.0.$1 born
 	born=$(now_ms)
 	launch "runner-$1" build/review/runner "$ip:$RUNNER_PORT" "i-$1" "$WORK/runner-$1.txt" m1 "$born"
 	RUNNER_PID[$1]=$LAUNCHED
 	await_port "$ip" "$RUNNER_PORT"
 	entry "i-$1" "$ip:$RUNNER_PORT" ready "$born" m1
+}
+
+# start_engine I: a model runner on 127.0.0.I, with the sidecar beside it.
+start_engine() {
+	local ip=127.0.0.$1
+	start_model_runner "$1"
 	sed -e "s/{{node_name}}/side-a-$1/" -e "s/{{zone}}/a/" \
 		-e "s/{{ip}}:{{port_range.0}}/$ip:$SIDECAR_PORT/" \
 		-e "s/{{ip}}:7381/$ip:$METRICS_PORT/" \
--- a/review/runner.c
+++ b/review/runner.c
@@ -19,6 +19,7 @@
  *	full=1		refuse all requests: no room
  *	leaving=1	say in all answers that it leaves
  *	work_ms=N	time of a run
+ *	events=N	events of a stream, one each 20 ms
  *	exit=1		end, as a runner that has left
  *	endless=1	be in trouble: streams go on with empty lines without
  *			end, until the caller closes
@@ -41,7 +42,6 @@
 #define BUFFER_SIZE 65536
 #define HEAD_SIZE 1024
 #define FIELD_SIZE 256
-#define STREAM_EVENTS 10
 #define EVENT_MS 20
 
 struct request {
@@ -69,7 +69,7 @@
 static FILE *journal;
 static pthread_mutex_t journal_lock = PTHREAD_MUTEX_INITIALIZER;
 static volatile bool full, leaving, endless;
-static volatile int work_ms = 15;
+static volatile int work_ms = 15, stream_events = 10;
 
 static void
 sleep_ms(int ms)
@@ -218,6 +218,8 @@
 		leaving = value != 0;
 	else if (strncmp(text, "work_ms=", 8) == 0)
 		work_ms = value;
+	else if (strncmp(text, "events=", 7) == 0)
+		stream_events = value;
 	else if (strncmp(text, "endless=", 8) == 0)
 		endless = value != 0;
 	else if (strncmp(text, "exit=", 5) == 0)
@@ -257,13 +259,13 @@
 
 	note("ran", r);
 	memset(lines, '\n', sizeof(lines));
-	for (int i = 1; i <= STREAM_EVENTS; i++) {
+	for (int i = 1; i <= stream_events; i++) {
 		if (send(fd, out, (size_t)len, MSG_NOSIGNAL) != len)
 			return false;
 		sleep_ms(EVENT_MS);
 		len = snprintf(
 		    out, sizeof(out), "id: %d\ndata: %s-%d\n\n", i, r->id, i);
-		if (endless && i == STREAM_EVENTS / 2) {
+		if (endless && i == stream_events / 2) {
 			while (send(fd, lines, sizeof(lines), MSG_NOSIGNAL) > 0)
 				;
 			return false;
