--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -16,7 +16,8 @@
 start_engine 8
 start_gateway 2
 GATEWAY=$LAUNCHED
-sleep 1
+# Until the machine is in touch: stable_window_ms is 3000.
+sleep 4
 
 memory_mb() { awk '$1 == "VmRSS:" { print int($2 / 1024) }' "/proc/$GATEWAY/status"; }
 
@@ -64,11 +65,11 @@
 watch_memory &
 WATCH=$!
 CLIENTS=()
-for c in {1..12}; do
+for c in {1..16}; do
 	keep_booking $c 2>/dev/null &
 	CLIENTS+=($!)
 done
-record "12 clients book, each on a connection that it keeps"
+record "16 clients book, each on a connection that it keeps"
 sleep 1
 record "memory of the gateway: $(memory_mb) MB"
 [ "$TROUBLE" != 0 ] && set_runner 8 endless=1
--- a/review/runner.c
+++ b/review/runner.c
@@ -1,9 +1,9 @@
 /*
  * runner -- stand-in of a runner of the platform, for the cases of the review.
- * It speaks HTTP/1.1 as the platform's pages describe a runner: it
- * reads bodies with a length for any method, answers HEAD without a body,
- * echoes the request's id, seals what it ran, refuses with 421 what expects
- * another instance, and with 503 what it has no room for.
+ * It speaks HTTP/1.1 as the platform's pages describe a runner: it reads bodies
+ * with a length for any method, answers HEAD without a body, echoes the
+ * request's id, seals what it ran, refuses with 421 what expects another
+ * instance, and with 503 what it has no room for.
  *
  *	runner IP:PORT ID JOURNAL [MODEL BORN]
  *
