review: a late order of before a restart overfills a runner

An order that got no answer names the runner by its id, which may be the same after a restart, and by a count of orders that the new incarnation reaches by normal loads: it is carried out, and the runner crashes. Ruled out: the same without a restart, 15 s, and with a new id, 15 s (the id is checked).

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -112,20 +112,28 @@
 drop() { must http DELETE 127.0.0.1 "$STORE_PORT" "/keys/$1/$2"; }
 
 configure() {
+	local models= m
+	for m in {1..25}; do
+		models+=${models:+,}'{"name":"m'$m'","weights_mb":65100,"load_s":6,"disk_s":0.76,"warm_s":0.38,"adapters":0,"adapter_mb":12}'
+	done
 	put keyed.op config '{"version":1,"routes":[
 {"name":"book","host":"h.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":1000,"latency_goal_ms":100,"priority":2,"service":"termindienst","max_attempts":2},
 {"name":"look","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":1000,"latency_goal_ms":100,"priority":2,"service":"termindienst","max_attempts":2},
 {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"latency_goal_ms":1000,"priority":1,"service":"sprachdienst","max_attempts":2,"sticky":true,"resumable":true,"gap_aim_ms":600}],
 "services":[{"name":"termindienst","health_path":"/health","max_conns":96},
-{"name":"sprachdienst","health_path":"/health","max_conns":360,"engine":{"slots":64,"kv_capacity":240783,"weights_mb":220000,"adapter_slots":8,"loads_per_s":2.1,"models":[{"name":"m1","weights_mb":65100,"load_s":6,"adapters":0,"adapter_mb":12}]}}],
+{"name":"sprachdienst","health_path":"/health","max_conns":360,"engine":{"slots":64,"kv_capacity":240783,"weights_mb":220000,"adapter_slots":8,"loads_per_s":2.1,"models":['"$models"']}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}'
 }
 
-# entry ID ADDRESS STATE BORN [MODEL]: a runner's record, as it writes it.
+# entry ID ADDRESS STATE BORN [MODELS]: a runner's record, as it writes it; MODELS
+# are separated by commas, and - stands for a model runner that holds none.
 entry() {
 	local service=termindienst slots=6 models=
-	[ -n "${5:-}" ] && service=sprachdienst slots=64 &&
-		models=",\"stage\":\"colocated\",\"models\":[{\"name\":\"$5\",\"version\":1,\"adapters\":[]}]"
+	if [ -n "${5:-}" ]; then
+		service=sprachdienst slots=64
+		models=$(sed 's/^-$//; s/[^,][^,]*/{"name":"&","version":1,"adapters":[]}/g' <<<"$5")
+		models=",\"stage\":\"colocated\",\"models\":[$models]"
+	fi
 	put keyed.servers "$1" "{\"service\":\"$service\",\"address\":\"$2\",\"zone\":\"a\",\"version\":\"1\",\"slots\":$slots,\"state\":\"$3\",\"cold_left_ms\":0$models,\"born\":$4,\"seq\":0}"
 }
 
@@ -206,20 +214,22 @@
 
 store_faults() { must http POST 127.0.0.1 "$STORE_PORT" /faults "$1"; }
 
-# start_model_runner I: on 127.0.0.I; it holds the model m1.
+# start_model_runner I [MODELS]: on 127.0.0.I; it holds these models, or m1, and
+# has copies of DISK, or of what it holds.
 start_model_runner() {
-	local ip=127.0.0.$1 born
+	local ip=127.0.0.$1 born models=${2:-m1}
 	born=$(now_ms)
-	launch "runner-$1" build/review/runner "$ip:$RUNNER_PORT" "i-$1" "$WORK/runner-$1.txt" m1 "$born"
+	launch "runner-$1" build/review/runner "$ip:$RUNNER_PORT" "i-$1" "$WORK/runner-$1.txt" \
+		"$models" "$born" "${DISK:-$models}"
 	RUNNER_PID[$1]=$LAUNCHED
 	await_port "$ip" "$RUNNER_PORT"
-	entry "i-$1" "$ip:$RUNNER_PORT" ready "$born" m1
+	entry "i-$1" "$ip:$RUNNER_PORT" ready "$born" "$models"
 }
 
-# start_engine I: a model runner on 127.0.0.I, with the sidecar beside it.
+# start_engine I [MODELS]: a model runner, with the sidecar beside it.
 start_engine() {
 	local ip=127.0.0.$1
-	start_model_runner "$1"
+	start_model_runner "$@"
 	sed -e "s/{{node_name}}/side-a-$1/" -e "s/{{zone}}/a/" \
 		-e "s/{{ip}}:{{port_range.0}}/$ip:$SIDECAR_PORT/" \
 		-e "s/{{ip}}:7381/$ip:$METRICS_PORT/" \
--- a/review/runner.c
+++ b/review/runner.c
@@ -5,24 +5,33 @@
  * request's id, seals what it ran, refuses with 421 what expects another
  * instance, and with 503 what it has no room for.
  *
- *	runner IP:PORT ID JOURNAL [MODEL BORN]
+ *	runner IP:PORT ID JOURNAL [MODELS BORN DISK]
  *
- * With a model it is a model runner that holds this model: it answers requests
- * with a stream of events, and GET /-/report.  It takes no orders.
+ * With models it is a model runner that holds these at first, and has copies of
+ * those of DISK; lists are separated by commas.  It has memory for HELD_MAX
+ * models, answers requests with a stream of events, and GET /-/report, and
+ *takes orders.  One that is ordered to load more than its memory holds crashes.
  *
  * Each request to run is a line of the journal: the time in ms since the epoch,
  * "ran" or "refused", the request's id, method and path, the length of its
  * body, and its headers Tamarackmast-Model, -Token-Count and -Prompt-Prefix, or
  * "-".
  *
+ * An order is such a line too: "order", the model, its expected count of
+ *orders, the status, and the models held.
+ *
  * POST /-/set?NAME=VALUE, of the case only:
  *	full=1		refuse all requests: no room
  *	leaving=1	say in all answers that it leaves
  *	work_ms=N	time of a run
  *	events=N	events of a stream, one each 20 ms
  *	exit=1		end, as a runner that has left
- *	endless=1	be in trouble: streams go on with empty lines without
- *			end, until the caller closes
+ *	late=N		the next order to load is left unanswered, and arrives N
+ *			seconds later; it is on its way outside of the runner,
+ *			and reaches whichever incarnation has the address then
+ *	restart=MS	crash, and start again under the same id after this
+ *time: all connections are reset, and it holds no models endless=1	be in
+ *trouble: streams go on with empty lines without end, until the caller closes
  */
 #include <pthread.h>
 #include <stdbool.h>
@@ -43,6 +52,11 @@
 #define HEAD_SIZE 1024
 #define FIELD_SIZE 256
 #define EVENT_MS 20
+#define BODY_SIZE 1024
+#define HELD_MAX 3 /* models; 220,000 MB of memory, 65,100 MB each */
+#define LOAD_MS 760 /* from the disk */
+#define CRASH_MS 1000
+#define CONNS_MAX 256
 
 struct request {
 	char method[16];
@@ -53,6 +67,7 @@
 	char tokens[FIELD_SIZE];
 	char prefix[FIELD_SIZE];
 	size_t body_len;
+	char body[BODY_SIZE]; /* its begin */
 	bool close;
 };
 
@@ -64,8 +79,19 @@
 };
 
 static const char *own_id;
-static const char *model; /* NULL: of a plain service */
+static const char *disk; /* models; NULL: of a plain service */
 static long long born_ms;
+/* Of a model runner: */
+static pthread_mutex_t state_lock = PTHREAD_MUTEX_INITIALIZER;
+static char held[HELD_MAX][FIELD_SIZE];
+static int held_count;
+static char loading[FIELD_SIZE]; /* "": none */
+static long long loaded_ms; /* when it ends */
+static long long order_count; /* accepted */
+static int late_s;
+static int conns[CONNS_MAX]; /* descriptors; 0: unused */
+static volatile unsigned incarnation;
+static volatile bool down;
 static FILE *journal;
 static pthread_mutex_t journal_lock = PTHREAD_MUTEX_INITIALIZER;
 static volatile bool full, leaving, endless;
@@ -79,16 +105,22 @@
 	nanosleep(&ts, NULL);
 }
 
-static void
-note(const char *what, const struct request *r)
+static long long
+now_ms(void)
 {
 	struct timespec ts;
 
 	clock_gettime(CLOCK_REALTIME, &ts);
+	return (long long)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void
+note(const char *what, const struct request *r)
+{
 	pthread_mutex_lock(&journal_lock);
 	fprintf(journal, "%lld %s %s %s %s body=%zu model=%s tokens=%s %s\n",
-	    (long long)ts.tv_sec * 1000 + ts.tv_nsec / 1000000, what, r->id,
-	    r->method, r->path, r->body_len, r->model, r->tokens, r->prefix);
+	    now_ms(), what, r->id, r->method, r->path, r->body_len, r->model,
+	    r->tokens, r->prefix);
 	fflush(journal);
 	pthread_mutex_unlock(&journal_lock);
 }
@@ -120,14 +152,20 @@
 	memmove(in->data, in->data + len, in->len);
 }
 
-/* Returns false if the connection ends before. */
+/* Keeps the begin of the body.  Returns false if the connection ends before. */
 static bool
-skip_body(struct input *in, size_t left)
+read_body(struct input *in, struct request *r)
 {
+	size_t left = r->body_len, kept = 0;
+
 	for (;;) {
 		size_t now = left < in->len ? left : in->len;
+		size_t keep = BODY_SIZE - 1 - kept;
 		ssize_t n;
 
+		keep = now < keep ? now : keep;
+		memcpy(r->body + kept, in->data, keep);
+		kept += keep;
 		drop_input(in, now);
 		left -= now;
 		if (left == 0)
@@ -207,6 +245,181 @@
 	       !leaving;
 }
 
+/* ---- models and orders ---- */
+
+static int
+find_held(const char *name)
+{
+	for (int i = 0; i < held_count; i++) {
+		if (strcmp(held[i], name) == 0)
+			return i;
+	}
+	return -1;
+}
+
+static void
+end_load(void)
+{
+	if (loading[0] == '\0' || now_ms() < loaded_ms)
+		return;
+	strcpy(held[held_count++], loading);
+	loading[0] = '\0';
+}
+
+static bool
+holds(const char *name)
+{
+	bool yes;
+
+	pthread_mutex_lock(&state_lock);
+	end_load();
+	yes = find_held(name) != -1;
+	pthread_mutex_unlock(&state_lock);
+	return yes;
+}
+
+static void *
+start_again(void *arg)
+{
+	sleep_ms((int)(intptr_t)arg);
+	born_ms = now_ms();
+	down = false;
+	return NULL;
+}
+
+/* With state_lock. */
+static void
+crash(int ms)
+{
+	struct linger reset = { 1, 0 };
+	pthread_t thread;
+
+	down = true;
+	incarnation++;
+	held_count = 0;
+	loading[0] = '\0';
+	order_count = 0;
+	for (int i = 0; i < CONNS_MAX; i++) {
+		if (conns[i] == 0)
+			continue;
+		setsockopt(
+		    conns[i], SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		shutdown(conns[i], SHUT_RD);
+	}
+	if (pthread_create(&thread, NULL, start_again, (void *)(intptr_t)ms) ==
+	    0)
+		pthread_detach(thread);
+}
+
+static void
+get_text(const char *body, const char *name, char out[FIELD_SIZE])
+{
+	const char *at = strstr(body, name);
+
+	out[0] = '\0';
+	if (at != NULL)
+		sscanf(at + strlen(name), "%255[^\"]", out);
+}
+
+static int
+execute_order(bool load, const char *name, long long expected)
+{
+	int at = find_held(name);
+
+	if (loading[0] != '\0' || expected != order_count)
+		return 409;
+	if (load == (at != -1))
+		return 200;
+	if (load && held_count == HELD_MAX)
+		return 0;
+	order_count++;
+	if (load) {
+		strcpy(loading, name);
+		loaded_ms = now_ms() + LOAD_MS;
+	} else if (at != --held_count) {
+		memmove(held[at], held[held_count], FIELD_SIZE);
+	}
+	return 202;
+}
+
+/* Returns the status; 0: it has crashed the runner. */
+static int
+order(const char *body, const char *when)
+{
+	char op[FIELD_SIZE], name[FIELD_SIZE];
+	const char *expected = strstr(body, "\"expected\":");
+	long long count = -1;
+	int code;
+
+	get_text(body, "\"operation\":\"", op);
+	get_text(body, "\"model\":\"", name);
+	if (expected != NULL)
+		count = atoll(expected + strlen("\"expected\":"));
+	pthread_mutex_lock(&state_lock);
+	end_load();
+	code = execute_order(strcmp(op, "load") == 0, name, count);
+	pthread_mutex_lock(&journal_lock);
+	fprintf(journal,
+	    "%lld order %s %s %s expected=%lld %s, held:", now_ms(), when, op,
+	    name, count,
+	    code == 0	  ? "CRASHES THE RUNNER"
+	    : code == 202 ? "carried out"
+	    : code == 200 ? "holds already"
+			  : "refused");
+	for (int i = 0; i < held_count; i++)
+		fprintf(journal, " %s", held[i]);
+	fprintf(journal, "%s%s\n",
+	    loading[0] == '\0' ? "" : ", being loaded: ", loading);
+	fflush(journal);
+	pthread_mutex_unlock(&journal_lock);
+	if (code == 0)
+		crash(CRASH_MS);
+	pthread_mutex_unlock(&state_lock);
+	return code;
+}
+
+struct late_order {
+	int delay_s;
+	char body[BODY_SIZE];
+};
+
+/* The id is the same after a restart, so that the order is for it. */
+static void *
+arrive_late(void *arg)
+{
+	struct late_order *late = arg;
+
+	sleep_ms(late->delay_s * 1000);
+	(void)order(late->body, "late");
+	free(late);
+	return NULL;
+}
+
+/* Returns false if the order is left unanswered. */
+static bool
+take_order(int fd, const struct request *r)
+{
+	struct late_order *late;
+	pthread_t thread;
+	int code;
+
+	if (late_s > 0 && strstr(r->body, "\"operation\":\"load\"") != NULL) {
+		late = calloc(1, sizeof(*late));
+		if (late == NULL)
+			exit(2);
+		late->delay_s = late_s;
+		strcpy(late->body, r->body);
+		late_s = 0;
+		note("unanswered-order", r);
+		if (pthread_create(&thread, NULL, arrive_late, late) == 0)
+			pthread_detach(thread);
+		sleep_ms(3000); /* the caller gives up */
+		return false;
+	}
+	code = order(r->body, "at-once");
+	return code != 0 && answer(fd, r, code, "", "{}");
+}
+
 static void
 set(const char *text)
 {
@@ -222,26 +435,52 @@
 		stream_events = value;
 	else if (strncmp(text, "endless=", 8) == 0)
 		endless = value != 0;
+	else if (strncmp(text, "late=", 5) == 0)
+		late_s = value;
 	else if (strncmp(text, "exit=", 5) == 0)
 		_exit(0);
 }
 
-static bool
-report(int fd)
+static void
+restart(int ms)
 {
-	char body[HEAD_SIZE], out[2 * HEAD_SIZE];
-	int len = snprintf(body, sizeof(body),
-	    "{\"stage\":\"colocated\",\"models\":[{\"name\":\"%s\","
-	    "\"version\":1,\"adapters\":[]}],\"busy\":false,\"seq\":0,"
-	    "\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":240783,"
-	    "\"handles\":0,\"born\":%lld}",
-	    model, born_ms);
+	pthread_mutex_lock(&state_lock);
+	crash(ms);
+	pthread_mutex_unlock(&state_lock);
+}
 
+static bool
+report(int fd, const struct request *r)
+{
+	char models[HEAD_SIZE] = "", copies[HEAD_SIZE] = "";
+	char body[4 * HEAD_SIZE], out[5 * HEAD_SIZE];
+	int len = 0;
+
+	for (const char *at = disk; *at != '\0';
+	     at += strcspn(at, ","), at += *at == ',')
+		len += snprintf(copies + len, sizeof(copies) - (size_t)len,
+		    "%s\"%.*s\"", at == disk ? "" : ",", (int)strcspn(at, ","),
+		    at);
+	len = 0;
+	pthread_mutex_lock(&state_lock);
+	end_load();
+	for (int i = 0; i < held_count; i++)
+		len += snprintf(models + len, sizeof(models) - (size_t)len,
+		    "%s{\"name\":\"%s\",\"version\":1,\"adapters\":[]}",
+		    i == 0 ? "" : ",", held[i]);
+	len = snprintf(body, sizeof(body),
+	    "{\"stage\":\"colocated\",\"models\":[%s],\"busy\":%s,"
+	    "\"seq\":%lld,\"queued\":0,\"active\":0,\"kv_used\":0,"
+	    "\"kv_total\":240783,\"handles\":0,\"born\":%lld,"
+	    "\"at_hand\":{\"in_memory\":[],\"on_disk\":[%s]}}",
+	    models, loading[0] == '\0' ? "false" : "true", order_count, born_ms,
+	    copies);
+	pthread_mutex_unlock(&state_lock);
 	len = snprintf(out, sizeof(out),
 	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 	    "Content-Length: %d\r\n\r\n%s",
 	    len, body);
-	return send(fd, out, (size_t)len, MSG_NOSIGNAL) == len;
+	return send(fd, out, (size_t)len, MSG_NOSIGNAL) == len && !r->close;
 }
 
 /* The stream has neither a length nor chunks, and ends with the connection. */
@@ -257,12 +496,16 @@
 	    "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
 	    r->id, own_id);
 
+	unsigned started = incarnation;
+
 	note("ran", r);
 	memset(lines, '\n', sizeof(lines));
 	for (int i = 1; i <= stream_events; i++) {
 		if (send(fd, out, (size_t)len, MSG_NOSIGNAL) != len)
 			return false;
 		sleep_ms(EVENT_MS);
+		if (incarnation != started)
+			return false;
 		len = snprintf(
 		    out, sizeof(out), "id: %d\ndata: %s-%d\n\n", i, r->id, i);
 		if (endless && i == stream_events / 2) {
@@ -275,6 +518,19 @@
 	return false;
 }
 
+static void
+keep_conn(int fd, bool keep)
+{
+	pthread_mutex_lock(&state_lock);
+	for (int i = 0; i < CONNS_MAX; i++) {
+		if (conns[i] != (keep ? 0 : fd))
+			continue;
+		conns[i] = keep ? fd : 0;
+		break;
+	}
+	pthread_mutex_unlock(&state_lock);
+}
+
 /* Returns whether the connection is kept. */
 static bool
 handle(int fd, const struct request *r)
@@ -283,22 +539,35 @@
 	char body[FIELD_SIZE + 16];
 
 	if (strncmp(r->path, "/-/set?", 7) == 0) {
-		set(r->path + 7);
-		return answer(fd, r, 200, "", "set\n");
+		answer(fd, r, 200, "", "set\n");
+		if (strncmp(r->path + 7, "restart=", 8) == 0) {
+			keep_conn(fd, false);
+			sleep_ms(50);
+			restart(atoi(r->path + 15));
+		} else {
+			set(r->path + 7);
+		}
+		return false;
 	}
 	if (strcmp(r->path, "/health") == 0)
 		return answer(fd, r, 200, "", "");
-	if (model != NULL && strcmp(r->path, "/-/report") == 0)
-		return report(fd);
+	if (disk != NULL && strcmp(r->path, "/-/report") == 0)
+		return report(fd, r);
 	if (r->expected[0] != '\0' && strcmp(r->expected, own_id) != 0) {
 		note("refused", r);
 		return answer(fd, r, 421, refusal, "");
 	}
+	if (disk != NULL && strcmp(r->path, "/-/order") == 0)
+		return take_order(fd, r);
+	if (disk != NULL && !holds(r->model)) {
+		note("refused", r);
+		return answer(fd, r, 421, refusal, "");
+	}
 	if (full || strcmp(r->id, "-") == 0) {
 		note("refused", r);
 		return answer(fd, r, full ? 503 : 400, refusal, "");
 	}
-	if (model != NULL)
+	if (disk != NULL)
 		return stream(fd, r);
 	note("ran", r);
 	sleep_ms(work_ms);
@@ -319,11 +588,14 @@
 		parse_head(copy, &r);
 		free(copy);
 		drop_input(in, head);
-		if (!skip_body(in, r.body_len) || !handle(in->fd, &r))
+		if (!read_body(in, &r) || !handle(in->fd, &r))
 			break;
 	}
-	shutdown(in->fd, SHUT_WR);
-	sleep_ms(50);
+	if (!down) {
+		shutdown(in->fd, SHUT_WR);
+		sleep_ms(50);
+	}
+	keep_conn(in->fd, false);
 	close(in->fd);
 	free(in);
 	return NULL;
@@ -351,18 +623,23 @@
 int
 main(int argc, char **argv)
 {
-	int listener = argc == 4 || argc == 6 ? listen_at(argv[1]) : -1;
+	int listener = argc == 4 || argc == 7 ? listen_at(argv[1]) : -1;
 	int one = 1, fd;
 
 	if (listener == -1) {
-		fprintf(
-		    stderr, "usage: runner IP:PORT ID JOURNAL [MODEL BORN]\n");
+		fprintf(stderr,
+		    "usage: runner IP:PORT ID JOURNAL [MODELS BORN DISK]\n");
 		return 2;
 	}
 	own_id = argv[2];
-	if (argc == 6) {
-		model = argv[4];
+	if (argc == 7) {
+		char *rest = argv[4], *name;
+
+		while ((name = strsep(&rest, ",")) != NULL &&
+		       held_count < HELD_MAX)
+			snprintf(held[held_count++], FIELD_SIZE, "%s", name);
 		born_ms = atoll(argv[5]);
+		disk = argv[6];
 	}
 	journal = fopen(argv[3], "w");
 	if (journal == NULL)
@@ -373,8 +650,18 @@
 
 		if (in == NULL)
 			return 2;
+		if (down) {
+			struct linger reset = { 1, 0 };
+
+			setsockopt(
+			    fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+			close(fd);
+			free(in);
+			continue;
+		}
 		in->fd = fd;
 		in->len = 0;
+		keep_conn(fd, true);
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 		if (pthread_create(&thread, NULL, serve, in) != 0)
 			return 2;
