--- a/review/runner.c
+++ b/review/runner.c
@@ -16,23 +16,23 @@
  * Each request to run is a line of the journal: the time in ms since the epoch,
  * "ran" or "refused", the request's id, method and path, the length of its
  * body, and its headers Tamarackmast-Model, -Token-Count and -Prompt-Prefix, or
- * "-".
- *
- * An order is such a line too: "order", the model, its expected count of
- *orders, the status, and the models held.
+ * "-".  An order is such a line too: "order", whether it came late, what it
+ *asks for, the count of orders that it expects, what became of it, and the
+ *models held.
  *
  * POST /-/set?NAME=VALUE, of the case only:
+ *
  *	full=1		refuse all requests: no room
  *	leaving=1	say in all answers that it leaves
  *	work_ms=N	time of a run
  *	events=N	events of a stream, one each 20 ms
  *	exit=1		end, as a runner that has left
- *	late=N		the next order to load is left unanswered, and arrives N
- *			seconds later; it is on its way outside of the runner,
- *			and reaches whichever incarnation has the address then
- *	restart=MS	crash, and start again under the same id after this
- *time: all connections are reset, and it holds no models endless=1	be in
- *trouble: streams go on with empty lines without end, until the caller closes
+ *	late=N		leave the next order to load unanswered; it arrives N s
+ *			later, at whichever incarnation has the address then
+ *	restart=MS	crash, and start again under the same id after MS: all
+ *			connections are reset, and no model is held
+ *	endless=1	be in trouble: streams go on with empty lines, until
+ *			the caller closes
  */
 #include <pthread.h>
 #include <stdbool.h>
