--- a/review/runner.c
+++ b/review/runner.c
@@ -16,9 +16,10 @@
  * Each request to run is a line of the journal: the time in ms since the epoch,
  * "ran" or "refused", the request's id, method and path, the length of its
  * body, and its headers Tamarackmast-Model, -Token-Count and -Prompt-Prefix, or
- * "-".  An order is such a line too: "order", whether it came late, what it
- *asks for, the count of orders that it expects, what became of it, and the
- *models held.
+ * "-".
+ *
+ * An order is such a line too: "order", whether it came late, what it asks for,
+ * the count of orders that it expects, what became of it, and the models held.
  *
  * POST /-/set?NAME=VALUE, of the case only:
  *
