gateway, protocol: bytes without end in a stream no longer fill the memory

Chunks are now written into the buffers that the connection has; an answer isn't read while 64 KiB of it wait for its caller; blank lines and comments are relayed but are no events, up to 1 MiB of them.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -89,8 +89,11 @@
 
 	if (x->call == NULL)
 		return;
-	/* Silence alone is no reason to end an answer that may still come. */
-	if (!exchange_has_alternative(x)) {
+	/*
+	 * Silence alone is no reason to end an answer that may still come, nor
+	 * is it the replica's while this gateway doesn't read.
+	 */
+	if (caller_is_behind(x->caller) || !exchange_has_alternative(x)) {
 		exchange_arm_silence_timer(x);
 		return;
 	}
@@ -237,6 +240,46 @@
 	x->last_event_us = now;
 }
 
+/* The parts show what requests that were lost with their replicas share. */
+static void
+log_lost(const struct exchange *x)
+{
+	char parts[FLEET_PROMPT_PARTS_MAX * 17 + 1] = "", whole[17];
+	size_t len = 0;
+
+	for (unsigned i = 0; i < x->params.part_count; i++)
+		len += (size_t)snprintf(parts + len, sizeof(parts) - len,
+		    "%s%" PRIx64, i == 0 ? "" : ",", x->params.parts[i].id);
+	snprintf(whole, sizeof(whole), "%" PRIx64, x->params.whole);
+	log_info(x->gateway->process.logger, "answer lost",
+	    LF_S("request", x->params.id),
+	    LF_S("replica", x->backend->entry.id), LF_S("parts", parts),
+	    LF_S("whole", whole), LF_S("adapter", x->params.adapter),
+	    LF_I("code", x->code), LF_I("has_event", x->has_event),
+	    LF_I("in_flight", x->backend->in_flight),
+	    LF_I("sent_for_us",
+		clock_now(x->gateway->process.clock) - x->sent_us));
+}
+
+/*
+ * The replica broke its answer off, or its connection was lost.  own_limit:
+ * this gateway broke it off, so that the request is not to blame.
+ */
+static void
+lose_answer(struct exchange *x, const char *why, bool own_limit)
+{
+	bool begun = x->relaying ? x->has_event : x->code != 0;
+
+	exchange_identify(x);
+	log_lost(x);
+	exchange_note_outcome(x, OUTLIER_FAILED);
+	if (!own_limit)
+		crash_guard_lost(
+		    x->gateway->crash_guard, &x->params, x->backend, begun);
+	exchange_release(x);
+	retry_or_fail(x, why);
+}
+
 /*
  * Relays one event; drops one that the caller has from an earlier attempt.
  * Returns -1 if the caller reads too slowly.
@@ -254,6 +297,7 @@
 	rc = caller_reply_chunk(
 	    x->caller, evbuffer_pullup(buf, (ev_ssize_t)ev->len), ev->len);
 	evbuffer_drain(buf, ev->len);
+	x->since_event = 0;
 	note_event(x);
 	exchange_arm_silence_timer(x);
 	if (ev->has_id) {
@@ -263,6 +307,29 @@
 	return rc;
 }
 
+/*
+ * Relays blank lines and comments, which are no progress of the stream. Returns
+ * -1 if the caller reads too slowly.
+ */
+static int
+pass_filler(struct exchange *x, struct evbuffer *buf, size_t len)
+{
+	int rc = caller_reply_chunk(
+	    x->caller, evbuffer_pullup(buf, (ev_ssize_t)len), len);
+
+	evbuffer_drain(buf, len);
+	x->since_event += len;
+	return rc;
+}
+
+/* Without a response that has begun, it stays possible to refuse the request.
+ */
+static bool
+waits_for_event(const struct exchange *x, const struct stream_event *ev)
+{
+	return !ev->is_event && !x->response_begun;
+}
+
 void
 exchange_on_chunk(void *ctx, struct evbuffer *buf)
 {
@@ -271,16 +338,34 @@
 
 	if (!x->relaying)
 		return; /* passed on by pass_answer() when complete */
-	while (event_stream_next(buf, &ev)) {
-		x->has_event = true;
-		if (x->pending_tokens > 0)
+	while (event_stream_next(buf, &ev) && !waits_for_event(x, &ev)) {
+		x->has_event |= ev.is_event;
+		if (ev.is_event && x->pending_tokens > 0)
 			exchange_note_first_event(x);
-		if (pass_event(x, buf, &ev) == -1) {
+		if ((ev.is_event ? pass_event(x, buf, &ev)
+				 : pass_filler(x, buf, ev.len)) == -1) {
 			exchange_fail(
 			    x, RESULT_STREAM_BROKEN, "caller reads too slowly");
 			return;
 		}
 	}
+	if (x->since_event > EXCHANGE_EVENT_MAX_BYTES) {
+		http_call_cancel(x->call);
+		lose_answer(x, "answer is over a limit", true);
+	} else if (caller_is_behind(x->caller)) {
+		http_call_pause(x->call);
+	}
+}
+
+void
+exchange_on_drained(void *ctx)
+{
+	struct exchange *x = ctx;
+
+	if (x->call == NULL)
+		return;
+	http_call_resume(x->call);
+	exchange_arm_silence_timer(x);
 }
 
 /*
@@ -297,10 +382,15 @@
 	       is_event_stream(&x->headers) && event_stream_is_cut(body);
 }
 
+/* body: the blank lines and comments after the last event. */
 static void
-finish_stream(struct exchange *x)
+finish_stream(struct exchange *x, struct evbuffer *body)
 {
+	size_t len = evbuffer_get_length(body);
+
 	begin_response(x);
+	(void)caller_reply_chunk(
+	    x->caller, evbuffer_pullup(body, (ev_ssize_t)len), len);
 	caller_reply_end(x->caller);
 	exchange_finish(x, "stream");
 }
@@ -343,46 +433,6 @@
 	    LF_S("answered_by", x->meta.replica));
 }
 
-/* The parts show what requests that were lost with their replicas share. */
-static void
-log_lost(const struct exchange *x)
-{
-	char parts[FLEET_PROMPT_PARTS_MAX * 17 + 1] = "", whole[17];
-	size_t len = 0;
-
-	for (unsigned i = 0; i < x->params.part_count; i++)
-		len += (size_t)snprintf(parts + len, sizeof(parts) - len,
-		    "%s%" PRIx64, i == 0 ? "" : ",", x->params.parts[i].id);
-	snprintf(whole, sizeof(whole), "%" PRIx64, x->params.whole);
-	log_info(x->gateway->process.logger, "answer lost",
-	    LF_S("request", x->params.id),
-	    LF_S("replica", x->backend->entry.id), LF_S("parts", parts),
-	    LF_S("whole", whole), LF_S("adapter", x->params.adapter),
-	    LF_I("code", x->code), LF_I("has_event", x->has_event),
-	    LF_I("in_flight", x->backend->in_flight),
-	    LF_I("sent_for_us",
-		clock_now(x->gateway->process.clock) - x->sent_us));
-}
-
-/*
- * The replica broke its answer off, or its connection was lost.  own_limit:
- * this gateway broke it off, so that the request is not to blame.
- */
-static void
-lose_answer(struct exchange *x, const char *why, bool own_limit)
-{
-	bool begun = x->relaying ? x->has_event : x->code != 0;
-
-	exchange_identify(x);
-	log_lost(x);
-	exchange_note_outcome(x, OUTLIER_FAILED);
-	if (!own_limit)
-		crash_guard_lost(
-		    x->gateway->crash_guard, &x->params, x->backend, begun);
-	exchange_release(x);
-	retry_or_fail(x, why);
-}
-
 static void
 on_answer(struct exchange *x, struct evbuffer *body)
 {
@@ -418,7 +468,7 @@
 	if (x->response_begun && !x->relaying) {
 		retry_or_fail(x, "stream could not be resumed");
 	} else if (x->relaying) {
-		finish_stream(x);
+		finish_stream(x, body);
 	} else if (x->code >= 500 && x->route->kind == ROUTE_IDEMPOTENT &&
 		   take_retry(x)) {
 		x->may_have_run = true;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -19,6 +19,8 @@
 #include "protocol/result.h"
 
 #define EXCHANGE_TRIED_MAX 8 /* replicas; also failed connections */
+/* Of a stream: held or passed on until its next event is complete. */
+#define EXCHANGE_EVENT_MAX_BYTES (1024 * 1024)
 
 struct backend;
 struct caller;
@@ -67,6 +69,7 @@
 	bool ended_by_close; /* the last answer, see struct http_response */
 	size_t unfinished; /* its bytes after the last complete event */
 	bool has_event; /* it has a complete event */
+	size_t since_event; /* bytes passed on since its last event */
 	struct evkeyvalq headers; /* of the answer that the caller gets */
 	struct answer_meta meta;
 
@@ -203,5 +206,7 @@
 void exchange_on_chunk(void *exchange, struct evbuffer *);
 void exchange_on_done(void *exchange, const struct http_response *);
 void exchange_on_silence(int fd, short what, void *exchange);
+/* Callback of the caller: it has read most of what waited for it. */
+void exchange_on_drained(void *exchange);
 
 #endif
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -17,8 +17,6 @@
 
 #define HEADERS_MAX 96 /* sent to a replica; further ones are dropped */
 #define URGENCY_MAX 9 /* the least urgent level of an engine */
-/* Of an answer to a streaming route, held until its next event is complete. */
-#define MAX_EVENT_BYTES (1024 * 1024)
 /*
  * Shorter prompts do not delay running streams enough to need a permit: their
  * prefill takes less than this share of the goal for pauses between events.
@@ -138,8 +136,9 @@
 		.headers = headers,
 		.body = x->body,
 		.body_len = x->body_len,
-		.max_body =
-		    x->route->kind == ROUTE_STREAM ? MAX_EVENT_BYTES : 0,
+		.max_body = x->route->kind == ROUTE_STREAM
+				? EXCHANGE_EVENT_MAX_BYTES
+				: 0,
 		.on_headers = exchange_on_headers,
 		.on_chunk = exchange_on_chunk,
 		.on_done = exchange_on_done,
@@ -163,6 +162,7 @@
 	x->attempts++;
 	x->code = 0;
 	x->has_event = false;
+	x->since_event = 0;
 	x->sent_us = clock_now(g->process.clock);
 	exchange_note_tried(x, b);
 	/*
--- a/src/gateway/exchange_start.c
+++ b/src/gateway/exchange_start.c
@@ -22,6 +22,8 @@
 
 /* Output that a slow caller may leave unread before it is aborted. */
 #define MAX_BACKLOG_BYTES (4 * 1024 * 1024)
+/* Of a stream that its caller has not read; no more is read of its answer. */
+#define HIGH_BACKLOG_BYTES 65536
 #define DEFAULT_DEADLINE_US (60 * USEC_PER_SEC)
 /* Left for the answer to reach the caller before its deadline. */
 #define DEADLINE_MARGIN_US (10 * USEC_PER_MSEC)
@@ -283,6 +285,8 @@
 	x->caller = caller_create(
 	    g->caller_http, req, MAX_BACKLOG_BYTES, exchange_on_disconnect, x);
 	caller_count_open(x->caller, &g->open_responses);
+	caller_watch_backlog(
+	    x->caller, HIGH_BACKLOG_BYTES, exchange_on_drained);
 	return x;
 }
 
--- a/src/protocol/caller.c
+++ b/src/protocol/caller.c
@@ -31,6 +31,10 @@
 	bool response_complete; /* all of it is queued for writing */
 	bool chunk_refused; /* a part of the response was left out */
 	size_t *open_count; /* see caller_count_open(); NULL: not counted */
+	struct evbuffer_cb_entry *output_watch; /* NULL: none */
+	size_t high_backlog;
+	bool behind; /* the backlog has exceeded high_backlog */
+	void (*on_drained)(void *);
 	void (*on_disconnect)(void *);
 	void *ctx;
 };
@@ -43,6 +47,22 @@
 	c->on_disconnect(c->ctx);
 }
 
+static struct evbuffer *
+connection_output(struct evhttp_connection *evcon)
+{
+	return bufferevent_get_output(evhttp_connection_get_bufferevent(evcon));
+}
+
+/* To be called before the connection serves another request or is freed. */
+static void
+unwatch_output(struct caller *c, struct evhttp_connection *evcon)
+{
+	if (c->output_watch != NULL)
+		evbuffer_remove_cb_entry(
+		    connection_output(evcon), c->output_watch);
+	c->output_watch = NULL;
+}
+
 static void
 caller_free(struct caller *c)
 {
@@ -58,6 +78,7 @@
 {
 	struct caller *c = ctx;
 
+	unwatch_output(c, evcon);
 	if (c->response_complete) {
 		caller_free(c);
 		return;
@@ -76,6 +97,7 @@
 	struct caller *c = ctx;
 
 	evhttp_connection_set_closecb(evcon, NULL, NULL);
+	unwatch_output(c, evcon);
 	http_server_response_sent(c->server, req);
 	caller_free(c);
 }
@@ -264,32 +286,72 @@
 	evbuffer_free(buf);
 }
 
-static size_t
-output_backlog(const struct caller *c)
+static void
+on_output_changed(
+    struct evbuffer *out, const struct evbuffer_cb_info *info, void *arg)
 {
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(
-	    evhttp_request_get_connection(c->req));
+	struct caller *c = arg;
+
+	if (!c->behind || evbuffer_get_length(out) >= c->high_backlog / 2)
+		return;
+	c->behind = false;
+	if (!c->response_complete)
+		c->on_drained(c->ctx);
+}
 
-	return evbuffer_get_length(bufferevent_get_output(bev));
+void
+caller_watch_backlog(
+    struct caller *c, size_t high, void (*on_drained)(void *ctx))
+{
+	if (c->req == NULL)
+		return;
+	c->high_backlog = high;
+	c->on_drained = on_drained;
+	c->output_watch = evbuffer_add_cb(
+	    connection_output(evhttp_request_get_connection(c->req)),
+	    on_output_changed, c);
+	if (c->output_watch == NULL)
+		abort();
+}
+
+bool
+caller_is_behind(const struct caller *c)
+{
+	return c->behind;
+}
+
+/*
+ * Writes a chunk as evhttp_send_reply_chunk() does, but into the buffers that
+ * the connection has: that function gives each chunk one of 1 KB or more, which
+ * no count of bytes shows.
+ */
+static void
+write_chunk(struct evhttp_request *req, struct evbuffer *out, const void *data,
+    size_t len)
+{
+	if (req->chunked)
+		evbuffer_add_printf(out, "%zx\r\n", len);
+	evbuffer_add(out, data, len);
+	if (req->chunked)
+		evbuffer_add(out, "\r\n", 2);
 }
 
 int
 caller_reply_chunk(struct caller *c, const void *data, size_t len)
 {
-	struct evbuffer *buf;
+	struct evbuffer *out;
 
-	if (c->req == NULL)
+	if (c->req == NULL || len == 0 ||
+	    evhttp_request_get_command(c->req) == EVHTTP_REQ_HEAD)
 		return 0;
-	if (output_backlog(c) + len > c->max_backlog) {
+	out = connection_output(evhttp_request_get_connection(c->req));
+	if (evbuffer_get_length(out) + len > c->max_backlog) {
 		c->chunk_refused = true;
 		return -1;
 	}
-	buf = evbuffer_new();
-	if (buf == NULL)
-		abort();
-	evbuffer_add(buf, data, len);
-	evhttp_send_reply_chunk(c->req, buf);
-	evbuffer_free(buf);
+	write_chunk(c->req, out, data, len);
+	c->behind =
+	    c->high_backlog > 0 && evbuffer_get_length(out) > c->high_backlog;
 	return 0;
 }
 
@@ -305,9 +367,11 @@
 {
 	struct evhttp_request *req = c->req;
 
-	if (req != NULL)
+	if (req != NULL) {
 		evhttp_connection_set_closecb(
 		    evhttp_request_get_connection(req), NULL, NULL);
+		unwatch_output(c, evhttp_request_get_connection(req));
+	}
 	if (req != NULL && c->response_started && ends_by_close(req))
 		socket_reset(request_fd(req));
 	caller_free(c);
--- a/src/protocol/caller.h
+++ b/src/protocol/caller.h
@@ -58,6 +58,15 @@
 /* Ends the response, or aborts it if a chunk was not sent. */
 void caller_reply_end(struct caller *);
 
+/*
+ * Calls on_drained(), with the context of caller_create(), when less than half
+ * of `high` bytes wait to be written after caller_is_behind() was true.
+ */
+void caller_watch_backlog(
+    struct caller *, size_t high, void (*on_drained)(void *ctx));
+/* Whether more than `high` bytes waited after the last chunk, and still do. */
+bool caller_is_behind(const struct caller *);
+
 /*
  * Closes the connection, so that a partial body isn't taken as complete; resets
  * it where the body has no chunks and would end with the connection.
--- a/src/protocol/event_stream.c
+++ b/src/protocol/event_stream.c
@@ -5,25 +5,11 @@
 
 #include <event2/buffer.h>
 
-/*
- * Returns the length of the first event, or 0 if it is not complete.  Lines end
- * with LF or CR LF.
- */
-static size_t
-event_len(const char *data, size_t len)
+/* len: with the LF, or CR LF, at its end. */
+static bool
+is_blank(const char *line, size_t len)
 {
-	const char *end = data + len, *at = data;
-
-	while ((at = memchr(at, '\n', (size_t)(end - at))) != NULL) {
-		const char *next = at + 1;
-
-		if (next < end && *next == '\r')
-			next++;
-		if (next < end && *next == '\n')
-			return (size_t)(next + 1 - data);
-		at++;
-	}
-	return 0;
+	return len == 1 || (len == 2 && line[0] == '\r');
 }
 
 static void
@@ -53,7 +39,7 @@
 
 		if (nl == NULL)
 			return true;
-		if (nl == at || (*at == '\r' && nl == at + 1))
+		if (is_blank(at, (size_t)(nl + 1 - at)))
 			inside = false;
 		else if (*at != ':')
 			inside = true;
@@ -65,24 +51,34 @@
 bool
 event_stream_next(struct evbuffer *buf, struct stream_event *ev)
 {
-	size_t len = evbuffer_get_length(buf);
-	const char *data, *at;
-	size_t left;
+	size_t len = evbuffer_get_length(buf), filler = 0;
+	const char *data, *at, *nl;
 
 	memset(ev, 0, sizeof(*ev));
 	if (len == 0)
 		return false;
 	data = (const char *)evbuffer_pullup(buf, -1);
-	ev->len = event_len(data, len);
-	if (ev->len == 0)
-		return false;
-	for (at = data, left = ev->len; left > 0;) {
-		const char *nl = memchr(at, '\n', left);
-		size_t line = nl == NULL ? left : (size_t)(nl - at) + 1;
+	for (at = data; at < data + len; at = nl + 1) {
+		size_t line;
+		bool blank;
 
-		parse_id(at, line, ev);
-		at += line;
-		left -= line;
+		nl = memchr(at, '\n', (size_t)(data + len - at));
+		if (nl == NULL)
+			break;
+		line = (size_t)(nl + 1 - at);
+		blank = is_blank(at, line);
+		if (blank && ev->is_event) {
+			ev->len = (size_t)(nl + 1 - data);
+			return true;
+		}
+		if (!blank && *at != ':') {
+			ev->is_event = true;
+			parse_id(at, line, ev);
+		}
+		if (!ev->is_event)
+			filler = (size_t)(nl + 1 - data);
 	}
-	return true;
+	memset(ev, 0, sizeof(*ev));
+	ev->len = filler;
+	return filler > 0;
 }
--- a/src/protocol/event_stream.h
+++ b/src/protocol/event_stream.h
@@ -15,11 +15,16 @@
 
 struct stream_event {
 	size_t len; /* bytes, with the blank line at its end */
+	bool is_event; /* it has a field; else blank lines and comments only */
 	bool has_id; /* it has a numeric id */
 	uint64_t id; /* only if has_id */
 };
 
-/* Finds the first event in buf.  Returns false if it is not complete yet. */
+/*
+ * Finds the first event in buf, with the blank lines and comments before it;
+ * without a complete event, the complete blank lines and comments that buf
+ * begins with.  Returns false if there is neither.
+ */
 bool event_stream_next(struct evbuffer *buf, struct stream_event *);
 
 /*
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -176,6 +176,20 @@
 	http_call_retire(call);
 }
 
+void
+http_call_pause(struct http_call *call)
+{
+	if (call->conn != NULL)
+		bufferevent_disable(call->conn->bev, EV_READ);
+}
+
+void
+http_call_resume(struct http_call *call)
+{
+	if (call->conn != NULL)
+		bufferevent_enable(call->conn->bev, EV_READ);
+}
+
 bool
 http_call_sent(const struct http_call *call)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -137,6 +137,14 @@
  */
 void http_call_cancel(struct http_call *);
 
+/*
+ * Stops reading the answer, so that the server can't send more than the kernel
+ * holds, until http_call_resume().  The call's times go on, and the end of the
+ * connection is not noticed meanwhile.
+ */
+void http_call_pause(struct http_call *);
+void http_call_resume(struct http_call *);
+
 /* Whether all bytes of the request have been passed to the kernel. */
 bool http_call_sent(const struct http_call *);
 
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -190,6 +190,7 @@
 		http_client_conn_close(c);
 		return;
 	}
+	http_call_resume(c->call);
 	c->call->conn = NULL;
 	c->call = NULL;
 	c->complete = false;
--- /dev/null
+++ b/test/process/test_endless_answers.c
@@ -0,0 +1,136 @@
+/*
+ * Replicas that write without end into their answers, in shapes that are cheap
+ * to send.  Guards against a gateway that runs out of memory by them and ends
+ * with the requests of other callers, and against calls that it fails because
+ * the answers of others fill its memory.
+ */
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+
+#include "common/addr.h"
+#include "harness_fleet.h"
+
+#define MEMORY_MAX_KB (160 * 1024) /* of the smallest VM of a gateway */
+#define CALLERS 12 /* every second one reads its response */
+#define TROUBLE_MS 700
+#define BOOKING_PAUSE_MS 20
+
+static int64_t
+peak_memory_kb(const struct proc *p)
+{
+	char *path = g_strdup_printf("/proc/%d/status", (int)p->pid);
+	char *text = NULL;
+	const char *at;
+	int64_t kb;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	at = strstr(text, "VmHWM:");
+	g_assert_nonnull(at);
+	kb = g_ascii_strtoll(at + strlen("VmHWM:"), NULL, 10);
+	g_free(text);
+	g_free(path);
+	return kb;
+}
+
+static int
+send_request(const char *path, const char *model, int n)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	char *request =
+	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\n"
+			    "Tamarackmast-Request-Id: endless-%d\r\n"
+			    "%s%s%s"
+			    "Tamarackmast-Deadline-Ms: 8000\r\n\r\n",
+		path, n, model == NULL ? "" : "Tamarackmast-Model: ",
+		model == NULL ? "" : model, model == NULL ? "" : "\r\n");
+	struct addr addr;
+
+	g_assert_cmpint(addr_parse(&addr, fleet.http_address[0]), ==, 0);
+	inet_pton(AF_INET, addr.host, &sin.sin_addr);
+	sin.sin_port = htons((uint16_t)addr.port);
+	g_assert_cmpint(
+	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
+	g_assert_cmpint(send(fd, request, strlen(request), 0), ==,
+	    (ssize_t)strlen(request));
+	g_free(request);
+	return fd;
+}
+
+static void
+read_some(int fd)
+{
+	static char buf[65536];
+
+	while (
+	    recv(fd, buf, sizeof(buf), MSG_DONTWAIT) == (ssize_t)sizeof(buf)) {
+	}
+}
+
+/* Keeps the requests open for TROUBLE_MS; bookings go on beside them. */
+static void
+run_beside_bookings(const char *path, const char *model)
+{
+	static int sent;
+	int64_t until_ms = now_ms() + TROUBLE_MS, next_ms = 0;
+	int fds[CALLERS];
+
+	for (int i = 0; i < CALLERS; i++)
+		fds[i] = send_request(path, model, ++sent);
+	while (now_ms() < until_ms) {
+		for (int i = 0; i < CALLERS; i += 2)
+			read_some(fds[i]);
+		if (now_ms() >= next_ms) {
+			struct response resp;
+
+			(void)fleet_request(&resp, 0, "/book/1", NULL);
+			proc_assert_running(&fleet.gateways[0]);
+			g_assert_cmpint(resp.code, ==, 200);
+			response_clear(&resp);
+			next_ms = now_ms() + BOOKING_PAUSE_MS;
+		}
+		sleep_ms(1);
+	}
+	for (int i = 0; i < CALLERS; i++)
+		close(fds[i]);
+}
+
+/* The peer's bytes end a gateway by its memory, or nearly so. */
+static void
+test_endless_streams_exhaust_memory(void)
+{
+	static const char *const texts[] = { "\\n", "\\r\\n", ":\\n",
+		": x\\n\\n", "data:\\n\\n", "id: 1\\ndata: x\\n\\n", "x" };
+
+	fleet_start();
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(texts); i++) {
+		char *faults =
+		    g_strdup_printf("{\"endless\":\"%s\",\"endless_after\":%d,"
+				    "\"until_close\":%s,\"event_ms\":1}",
+			texts[i / 2], (int)(i % 4 == 0 ? 0 : 5),
+			i % 2 == 0 ? "true" : "false");
+
+		g_test_message("%s", faults);
+		fleet_set_faults(fleet.engines, FLEET_ENGINES, faults);
+		run_beside_bookings("/stream/1", "m1");
+		g_assert_cmpint(
+		    peak_memory_kb(&fleet.gateways[0]), <, MEMORY_MAX_KB);
+		g_free(faults);
+	}
+	fleet_stop();
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/endless/streams_exhaust_memory",
+	    test_endless_streams_exhaust_memory);
+	return g_test_run();
+}
--- a/test/unit/test_caller.c
+++ b/test/unit/test_caller.c
@@ -1,8 +1,11 @@
 /*
  * Responses to a caller over a real connection.
  *
- * Guards against an incomplete response that looks complete to the caller.
+ * Guards against an incomplete response that looks complete to the caller, and
+ * against a response in small chunks that takes many times the memory of its
+ * bytes while its caller does not read.
  */
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 
@@ -20,6 +23,7 @@
 #include "transport/http_server.h"
 
 #define BACKLOG 1024 /* bytes */
+#define LARGE_BACKLOG (1024 * 1024)
 
 struct fixture {
 	struct event_base *base;
@@ -54,8 +58,25 @@
 	caller_reply_end(c);
 }
 
+/* The caller gets no chance to read meanwhile. */
+static void
+on_small_chunks(void *ctx, struct evhttp_request *req)
+{
+	struct fixture *f = ctx;
+	struct caller *c =
+	    caller_create(f->server, req, LARGE_BACKLOG, on_disconnect, NULL);
+	size_t before = mallinfo2().uordblks;
+
+	caller_reply_start(c, 200, "text/plain");
+	while (caller_reply_chunk(c, "\n", 1) == 0) {
+	}
+	g_assert_cmpuint(mallinfo2().uordblks, <, before + 2 * LARGE_BACKLOG);
+	caller_reply_end(c);
+}
+
 static const struct http_route routes[] = {
 	{ "/", EVHTTP_REQ_GET, on_request },
+	{ "/small", EVHTTP_REQ_GET, on_small_chunks },
 	{ 0 },
 };
 
@@ -95,16 +116,18 @@
 	return sin;
 }
 
-static void
-test_refused_chunk_ends_as_complete(void)
+/* Makes a request; returns what the caller has received at its end. */
+static GString *
+receive(const char *path)
 {
 	struct fixture f = { .received = g_string_new(NULL) };
 	struct metrics *metrics = metrics_create();
 	struct http_server_options opts = {
 		.routes = routes, .refuse = on_refuse, .ctx = &f
 	};
-	static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n"
-				      "Connection: close\r\n\r\n";
+	char *request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: x\r\n"
+					"Connection: close\r\n\r\n",
+	    path);
 	struct sockaddr_in sin;
 	struct bufferevent *bev;
 
@@ -117,15 +140,30 @@
 	bufferevent_setcb(bev, on_read, NULL, on_event, &f);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 	bufferevent_socket_connect(bev, (struct sockaddr *)&sin, sizeof(sin));
-	bufferevent_write(bev, request, sizeof(request) - 1);
+	bufferevent_write(bev, request, strlen(request));
 	event_base_dispatch(f.base);
-	/* The end of a body in chunks. */
-	g_assert_null(strstr(f.received->str, "\r\n0\r\n\r\n"));
 	bufferevent_free(bev);
 	http_server_destroy(f.server);
 	event_base_free(f.base);
 	metrics_destroy(metrics);
-	g_string_free(f.received, TRUE);
+	g_free(request);
+	return f.received;
+}
+
+static void
+test_refused_chunk_ends_as_complete(void)
+{
+	GString *received = receive("/");
+
+	/* The end of a body in chunks. */
+	g_assert_null(strstr(received->str, "\r\n0\r\n\r\n"));
+	g_string_free(received, TRUE);
+}
+
+static void
+test_small_chunks_exhaust_memory(void)
+{
+	g_string_free(receive("/small"), TRUE);
 }
 
 int
@@ -135,5 +173,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/caller/refused_chunk_ends_as_complete",
 	    test_refused_chunk_ends_as_complete);
+	g_test_add_func("/caller/small_chunks_exhaust_memory",
+	    test_small_chunks_exhaust_memory);
 	return g_test_run();
 }
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -1050,6 +1050,39 @@
 	evbuffer_free(buf);
 }
 
+/* Guards against blank lines and comments that count as a stream's progress. */
+static void
+test_event_stream_filler_is_progress(void)
+{
+	static const struct {
+		const char *text;
+		size_t len; /* of the first part; 0: none */
+		bool is_event;
+	} cases[] = {
+		{ "", 0, false },
+		{ "\n", 1, false },
+		{ "\r\n\n", 3, false },
+		{ ": x\n", 4, false },
+		{ ": x\n\n: y", 5, false },
+		{ "\r", 0, false },
+		{ ":\ndata: x\n\ndata: y\n\n", 11, true },
+		{ "\n\ndata: x\n", 2, false },
+		{ ": x\nid: 1\n:\n\n\n", 13, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct evbuffer *buf = evbuffer_new();
+		struct stream_event ev;
+
+		evbuffer_add(buf, cases[i].text, strlen(cases[i].text));
+		g_assert_cmpint(
+		    event_stream_next(buf, &ev), ==, cases[i].len > 0);
+		g_assert_cmpuint(ev.len, ==, cases[i].len);
+		g_assert_cmpint(ev.is_event, ==, cases[i].is_event);
+		evbuffer_free(buf);
+	}
+}
+
 static void
 test_event_stream_cut(void)
 {
@@ -1125,6 +1158,8 @@
 	g_test_add_func("/outlier", test_outlier);
 	g_test_add_func("/pace_and_rate", test_prefill_factor_and_rate);
 	g_test_add_func("/event_stream/events", test_event_stream);
+	g_test_add_func("/event_stream/filler_is_progress",
+	    test_event_stream_filler_is_progress);
 	g_test_add_func("/event_stream/cut", test_event_stream_cut);
 	return g_test_run();
 }
