sidecar, coordination: a late order no longer overfills a restarted replica

Cause: an order without an answer was forgotten after its time-out. It arrived eleven seconds later, after the replica had restarted empty under its id and had been filled again by as many orders as the late one expected.

Evidence: on /late_orders/late_order_overfills_restarted_replica ends with engine-1 has ended, wait status 768 which is the stand-in's exit for an overfilled memory. Ruled out by the lines of the sidecar: orders without an id, and decisions by a report of before.

Orders without an answer are kept for a minute.

A sidecar that restarts doesn't know the lost orders of its predecessor: open, in the postmortem.

--- a/src/coordination/swap.c
+++ b/src/coordination/swap.c
@@ -123,8 +123,8 @@
 	return s;
 }
 
-static struct swap_step
-evict_model(const struct swap_input *in)
+struct swap_step
+swap_evict_model(const struct swap_input *in)
 {
 	const struct swap_model *victim = swap_victim(in);
 
@@ -132,8 +132,8 @@
 			      : make_step(SWAP_UNLOAD, victim->name, NULL);
 }
 
-static struct swap_step
-evict_adapter(const struct swap_input *in)
+struct swap_step
+swap_evict_adapter(const struct swap_input *in)
 {
 	const struct swap_adapter *victim = NULL;
 	const char *model = NULL;
@@ -172,9 +172,9 @@
 step_for_adapter(const struct swap_input *in, const struct swap_request *r)
 {
 	if (adapter_count(in) >= in->adapter_capacity)
-		return evict_adapter(in);
+		return swap_evict_adapter(in);
 	if (swap_used_mb(in) + r->adapter_mb > in->memory_mb)
-		return evict_adapter(in);
+		return swap_evict_adapter(in);
 	return make_step(SWAP_LOAD, r->model, r->adapter);
 }
 
@@ -192,7 +192,7 @@
 	if (r->needs_permit && !permitted)
 		return make_step(SWAP_NONE, NULL, NULL);
 	if (swap_used_mb(in) + r->size_mb > in->memory_mb)
-		return evict_model(in);
+		return swap_evict_model(in);
 	return make_step(SWAP_LOAD, r->model, NULL);
 }
 
--- a/src/coordination/swap.h
+++ b/src/coordination/swap.h
@@ -78,6 +78,10 @@
  */
 struct swap_step swap_next(const struct swap_input *, bool *ask_permit);
 
+/* The step that frees memory, or a place for an adapter; SWAP_NONE: none. */
+struct swap_step swap_evict_model(const struct swap_input *);
+struct swap_step swap_evict_adapter(const struct swap_input *);
+
 /* Memory that models and adapters occupy. */
 double swap_used_mb(const struct swap_input *);
 
--- a/src/sidecar/replica_control.c
+++ b/src/sidecar/replica_control.c
@@ -11,6 +11,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "coordination/late_orders.h"
 #include "coordination/load_permit.h"
 #include "coordination/swap.h"
 #include "protocol/tm_xdr.h"
@@ -28,6 +29,8 @@
 #define ORDER_PAUSE_MAX_US (1 * USEC_PER_SEC)
 /* Time constant of the average of prefill_share. */
 #define PREFILL_WINDOW_US (2 * USEC_PER_SEC)
+/* An order without an answer is not carried out after this time. */
+#define LATE_ORDER_MAX_US (60 * USEC_PER_SEC)
 /* Reports lag some hundred ms; after this time they show an accepted order. */
 #define REPORT_MAX_AGE_US (1 * USEC_PER_SEC)
 #define LOAD_REQUESTS_MAX 128 /* pending; further ones are dropped */
@@ -78,6 +81,8 @@
 	bool order_from_store;
 	char order_model[FLEET_NAME_MAX];
 	char order_adapter[FLEET_NAME_MAX]; /* "": the model itself */
+	struct late_orders late_orders;
+	bool order_is_held_back; /* a late order would not fit beside it */
 	struct load_permit *permit; /* for loads from the weight store */
 	double prefill_share; /* of recent time; 0 to 1 */
 	int64_t report_us; /* of the last report */
@@ -85,6 +90,7 @@
 	int64_t order_pause_until_us; /* earliest next order */
 	uint64_t *orders; /* counters of orders sent */
 	uint64_t *store_loads;
+	uint64_t *held_back;
 };
 
 static void send_next_order(struct replica_control *);
@@ -430,6 +436,8 @@
 	    LF_I("seq", rc->state.order_seq));
 	if (model_load && result == ORDER_STARTED)
 		note_load_start(rc, now);
+	if (result != ORDER_UNKNOWN)
+		late_orders_answered(&rc->late_orders);
 	if (result == ORDER_REFUSED)
 		rc->id[0] = '\0'; /* may be an earlier incarnation's */
 	if (result == ORDER_STARTED || result == ORDER_ALREADY_DONE) {
@@ -443,6 +451,69 @@
 	poll_soon(rc);
 }
 
+/* Size of what a step loads or unloads. */
+static double
+step_size_mb(const struct replica_control *rc, const struct swap_step *step)
+{
+	const struct model_spec *spec =
+	    engine_find_model(sidecar_engine(rc->sidecar), step->model);
+
+	if (spec == NULL)
+		return 0;
+	return step->adapter == NULL ? spec->size_mb : spec->adapter_mb;
+}
+
+static void
+note_order(struct replica_control *rc, const struct swap_step *step)
+{
+	int64_t now = clock_now(rc->sidecar->process.clock);
+	struct late_order o = {
+		.expected_seq = rc->state.order_seq,
+		.load = step->op == SWAP_LOAD,
+		.size_mb = step_size_mb(rc, step),
+		.until_us = now + LATE_ORDER_MAX_US,
+	};
+
+	strlcpy(o.replica, rc->id, sizeof(o.replica));
+	strlcpy(o.model, step->model, sizeof(o.model));
+	if (step->adapter != NULL)
+		strlcpy(o.adapter, step->adapter, sizeof(o.adapter));
+	late_orders_add(&rc->late_orders, &o, now);
+}
+
+/*
+ * The step, or one that makes room, such that late orders fit after it;
+ * SWAP_NONE while there is none.
+ */
+static struct swap_step
+choose_safe_step(struct replica_control *rc, const struct swap_input *in,
+    const struct swap_step *step)
+{
+	const struct swap_step steps[] = { *step, swap_evict_adapter(in),
+		swap_evict_model(in) };
+	const struct swap_step none = { .op = SWAP_NONE };
+
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		if (steps[i].op == SWAP_NONE ||
+		    !late_orders_fit(&rc->late_orders, in, &steps[i],
+			step_size_mb(rc, &steps[i]), rc->id,
+			rc->state.order_seq))
+			continue;
+		if (i == 0)
+			rc->order_is_held_back = false;
+		return steps[i];
+	}
+	if (!rc->order_is_held_back) {
+		(*rc->held_back)++;
+		log_info(rc->sidecar->process.logger,
+		    "order held back: a late one would not fit beside it",
+		    LF_S("model", step->model),
+		    LF_I("seq", rc->state.order_seq));
+	}
+	rc->order_is_held_back = true;
+	return none;
+}
+
 static void
 send_order(struct replica_control *rc, const struct swap_step *step)
 {
@@ -457,6 +528,7 @@
 		.replica = rc->id,
 	};
 
+	note_order(rc, step);
 	rc->awaiting_order_reply = true;
 	rc->order_is_load = step->op == SWAP_LOAD;
 	strlcpy(rc->order_model, step->model, sizeof(rc->order_model));
@@ -536,6 +608,9 @@
 		identify_replica(rc);
 		return;
 	}
+	step = choose_safe_step(rc, &args.in, &step);
+	if (step.op == SWAP_NONE)
+		return;
 	if (step.op == SWAP_LOAD && step.adapter == NULL &&
 	    needs_weight_store(rc, step.model) && !load_permit_take(rc->permit))
 		return;
@@ -655,6 +730,8 @@
 	    metrics_counter(sc->process.metrics, "sidecar_orders_total", "");
 	rc->store_loads = metrics_counter(
 	    sc->process.metrics, "sidecar_store_loads_total", "");
+	rc->held_back = metrics_counter(
+	    sc->process.metrics, "sidecar_orders_held_back_total", "");
 	rc->poll = process_timer_new(&sc->process, on_poll, rc);
 	process_timer_add(rc->poll, 0);
 	return rc;
