transport, protocol: large answers no longer end the calls of others

Callers of sound replicas would have seen 502 for a small answer while a faulty replica's bodies filled the gateway's 96 MB for answers.

Cause: the quota failed whichever call received bytes while it was exceeded, and did not count what had been handed over to callers that don't read.

--- a/src/gateway/exchange_start.c
+++ b/src/gateway/exchange_start.c
@@ -285,8 +285,8 @@
 	x->caller = caller_create(
 	    g->caller_http, req, MAX_BACKLOG_BYTES, exchange_on_disconnect, x);
 	caller_count_open(x->caller, &g->open_responses);
-	caller_watch_backlog(
-	    x->caller, HIGH_BACKLOG_BYTES, exchange_on_drained);
+	caller_watch_backlog(x->caller, HIGH_BACKLOG_BYTES, &g->answer_quota,
+	    exchange_on_drained);
 	return x;
 }
 
--- a/src/protocol/caller.c
+++ b/src/protocol/caller.c
@@ -16,6 +16,7 @@
 #include <jansson.h>
 
 #include "protocol/problem.h"
+#include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/socket.h"
 #include "transport/tls.h"
@@ -32,6 +33,8 @@
 	bool chunk_refused; /* a part of the response was left out */
 	size_t *open_count; /* see caller_count_open(); NULL: not counted */
 	struct evbuffer_cb_entry *output_watch; /* NULL: none */
+	struct http_buffer_quota *quota; /* counts the backlog */
+	size_t held; /* bytes of it that the quota counts */
 	size_t high_backlog;
 	bool behind; /* the backlog has exceeded high_backlog */
 	void (*on_drained)(void *);
@@ -57,10 +60,11 @@
 static void
 unwatch_output(struct caller *c, struct evhttp_connection *evcon)
 {
-	if (c->output_watch != NULL)
-		evbuffer_remove_cb_entry(
-		    connection_output(evcon), c->output_watch);
+	if (c->output_watch == NULL)
+		return;
+	evbuffer_remove_cb_entry(connection_output(evcon), c->output_watch);
 	c->output_watch = NULL;
+	http_quota_update(c->quota, &c->held, 0);
 }
 
 static void
@@ -292,6 +296,7 @@
 {
 	struct caller *c = arg;
 
+	http_quota_update(c->quota, &c->held, evbuffer_get_length(out));
 	if (!c->behind || evbuffer_get_length(out) >= c->high_backlog / 2)
 		return;
 	c->behind = false;
@@ -300,12 +305,13 @@
 }
 
 void
-caller_watch_backlog(
-    struct caller *c, size_t high, void (*on_drained)(void *ctx))
+caller_watch_backlog(struct caller *c, size_t high,
+    struct http_buffer_quota *quota, void (*on_drained)(void *ctx))
 {
 	if (c->req == NULL)
 		return;
 	c->high_backlog = high;
+	c->quota = quota;
 	c->on_drained = on_drained;
 	c->output_watch = evbuffer_add_cb(
 	    connection_output(evhttp_request_get_connection(c->req)),
--- a/src/protocol/caller.h
+++ b/src/protocol/caller.h
@@ -18,6 +18,7 @@
 struct evbuffer;
 struct http_server;
 struct evhttp_request;
+struct http_buffer_quota;
 struct json_t;
 struct problem;
 
@@ -60,10 +61,12 @@
 
 /*
  * Calls on_drained(), with the context of caller_create(), when less than half
- * of `high` bytes wait to be written after caller_is_behind() was true.
+ * of `high` bytes wait to be written after caller_is_behind() was true.  Counts
+ * what waits in the quota until it has been written; the quota must stay valid
+ * as long as the event loop.
  */
-void caller_watch_backlog(
-    struct caller *, size_t high, void (*on_drained)(void *ctx));
+void caller_watch_backlog(struct caller *, size_t high,
+    struct http_buffer_quota *, void (*on_drained)(void *ctx));
 /* Whether more than `high` bytes waited after the last chunk, and still do. */
 bool caller_is_behind(const struct caller *);
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -24,12 +24,24 @@
 
 #define HTTP_CLIENT_MAX_BODY (16 * 1024 * 1024) /* bytes */
 
-/* Bounds what several clients hold of all their answers together, in bytes. */
+/*
+ * Bounds what several clients hold of all their answers together, in bytes, and
+ * what waits to be written to others.
+ */
 struct http_buffer_quota {
 	size_t max; /* a call that needs more fails */
 	size_t used;
 };
 
+/*
+ * A call that holds no more is not failed by the quota, so that large answers
+ * of others do not end calls with small ones.
+ */
+#define HTTP_QUOTA_FREE 65536 /* bytes */
+
+/* Changes what the quota counts of one holder, *held, to now. */
+void http_quota_update(struct http_buffer_quota *, size_t *held, size_t now);
+
 struct http_client_options {
 	struct event_base *base;
 	const char *address; /* IP:PORT */
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -57,7 +57,14 @@
 	event_active(client->reaper, 0, 0);
 }
 
-/* Updates what the quota counts.  Returns -1 if it is exceeded. */
+void
+http_quota_update(struct http_buffer_quota *quota, size_t *held, size_t now)
+{
+	quota->used += now - *held;
+	*held = now;
+}
+
+/* Updates what the quota counts.  Returns -1 if the call must fail by it. */
 static int
 count_held(struct http_call *call, size_t held)
 {
@@ -65,9 +72,8 @@
 
 	if (quota == NULL)
 		return 0;
-	quota->used += held - call->held;
-	call->held = held;
-	return quota->used > quota->max ? -1 : 0;
+	http_quota_update(quota, &call->held, held);
+	return quota->used > quota->max && held > HTTP_QUOTA_FREE ? -1 : 0;
 }
 
 static void
--- a/test/process/test_endless_answers.c
+++ b/test/process/test_endless_answers.c
@@ -20,6 +20,7 @@
 #define CALLERS 12 /* every second one reads its response */
 #define TROUBLE_MS 700
 #define BOOKING_PAUSE_MS 20
+#define SETTLE_MS 1000 /* until a configuration is in force */
 
 static int64_t
 peak_memory_kb(const struct proc *p)
@@ -38,6 +39,15 @@
 	return kb;
 }
 
+static void
+assert_memory_bounded(void)
+{
+	int64_t kb = peak_memory_kb(&fleet.gateways[0]);
+
+	g_test_message("peak memory %d kB", (int)kb);
+	g_assert_cmpint(kb, <, MEMORY_MAX_KB);
+}
+
 static int
 send_request(const char *path, const char *model, int n)
 {
@@ -126,11 +136,34 @@
 	fleet_stop();
 }
 
+/* A whole answer is held until its end; bookings are small ones beside it. */
+static void
+test_endless_bodies_exhaust_memory(void)
+{
+	fleet_start();
+	fleet_configure(",{\"name\":\"faulty\",\"host\":\"h.example\","
+			"\"path_prefix\":\"/faulty/\",\"kind\":\"safe\","
+			"\"timeout_ms\":8000,\"latency_goal_ms\":2000,"
+			"\"priority\":1,\"service\":\"llm\","
+			"\"max_attempts\":1}");
+	sleep_ms(SETTLE_MS);
+	for (int i = 0; i < 2; i++) {
+		fleet_set_faults(fleet.engines, FLEET_ENGINES,
+		    i == 0 ? "{\"endless\":\"x\",\"until_close\":true}"
+			   : "{\"endless\":\"x\",\"until_close\":false}");
+		run_beside_bookings("/faulty/1", NULL);
+		assert_memory_bounded();
+	}
+	fleet_stop();
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/endless/streams_exhaust_memory",
 	    test_endless_streams_exhaust_memory);
+	g_test_add_func("/endless/bodies_exhaust_memory",
+	    test_endless_bodies_exhaust_memory);
 	return g_test_run();
 }
--- a/test/unit/test_caller.c
+++ b/test/unit/test_caller.c
@@ -20,6 +20,7 @@
 
 #include "common/metrics.h"
 #include "protocol/caller.h"
+#include "transport/http_client.h"
 #include "transport/http_server.h"
 
 #define BACKLOG 1024 /* bytes */
@@ -29,6 +30,7 @@
 	struct event_base *base;
 	struct http_server *server;
 	GString *received;
+	struct http_buffer_quota quota;
 };
 
 static void
@@ -74,9 +76,30 @@
 	caller_reply_end(c);
 }
 
+static void
+on_drained(void *ctx)
+{
+}
+
+/* A whole response that waits for its caller is counted until it is written. */
+static void
+on_large(void *ctx, struct evhttp_request *req)
+{
+	struct fixture *f = ctx;
+	struct caller *c =
+	    caller_create(f->server, req, BACKLOG, on_disconnect, NULL);
+	char *text = g_strnfill(LARGE_BACKLOG, 'x');
+
+	caller_watch_backlog(c, BACKLOG, &f->quota, on_drained);
+	caller_reply(c, 200, "text/plain", text, LARGE_BACKLOG);
+	g_assert_cmpuint(f->quota.used, >=, LARGE_BACKLOG);
+	g_free(text);
+}
+
 static const struct http_route routes[] = {
 	{ "/", EVHTTP_REQ_GET, on_request },
 	{ "/small", EVHTTP_REQ_GET, on_small_chunks },
+	{ "/large", EVHTTP_REQ_GET, on_large },
 	{ 0 },
 };
 
@@ -146,6 +169,7 @@
 	http_server_destroy(f.server);
 	event_base_free(f.base);
 	metrics_destroy(metrics);
+	g_assert_cmpuint(f.quota.used, ==, 0);
 	g_free(request);
 	return f.received;
 }
@@ -166,6 +190,15 @@
 	g_string_free(receive("/small"), TRUE);
 }
 
+static void
+test_unread_response_is_uncounted(void)
+{
+	GString *received = receive("/large");
+
+	g_assert_cmpuint(received->len, >, LARGE_BACKLOG);
+	g_string_free(received, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -175,5 +208,7 @@
 	    test_refused_chunk_ends_as_complete);
 	g_test_add_func("/caller/small_chunks_exhaust_memory",
 	    test_small_chunks_exhaust_memory);
+	g_test_add_func("/caller/unread_response_is_uncounted",
+	    test_unread_response_is_uncounted);
 	return g_test_run();
 }
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -545,6 +545,21 @@
 	g_assert_cmpuint(f.quota.used, ==, 0);
 }
 
+/* Guards against a small answer that fails as others fill the memory. */
+static void
+test_full_quota_fails_small_answer(void)
+{
+	static const struct step script[] = { { OK_A, KEEP } };
+	struct fixture f;
+
+	open_fixture(&f, script);
+	f.quota.used = QUOTA + 1;
+	call(&f);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_OK);
+	g_assert_cmpstr(f.body, ==, "a");
+	close_fixture(&f);
+}
+
 /* A refused connection: the call was not sent, so it may be sent elsewhere. */
 static void
 test_not_sent(void)
@@ -598,6 +613,8 @@
 	g_test_add_func("/http_client/ends", test_ends);
 	g_test_add_func("/http_client/endless_answers", test_endless_answers);
 	g_test_add_func("/http_client/quota", test_quota);
+	g_test_add_func("/http_client/full_quota_fails_small_answer",
+	    test_full_quota_fails_small_answer);
 	g_test_add_func(
 	    "/http_client/slow_answer_is_cut_off", test_slow_answer_is_cut_off);
 	g_test_add_func("/http_client/not_sent", test_not_sent);
