--- a/src/transport/engine_http.c
+++ b/src/transport/engine_http.c
@@ -8,10 +8,15 @@
 #include <event2/buffer.h>
 #include <jansson.h>
 
+#include "common/json_bounded.h"
 #include "transport/http_client.h"
 
 #define MAX_IDLE_CONNECTIONS 64
 #define TEXT_MAX 256 /* size of an error message, with the NUL */
+/* Values in an engine's state, which lists each adapter that it has. */
+#define STATE_VALUES_MAX 300000
+#define LINE_VALUES_MAX 256 /* of a stream */
+#define LINE_MAX_BYTES 65536
 #define CANCEL_TIMEOUT_US 5000000 /* of the call that cancels a stream */
 
 struct engine_http {
@@ -47,7 +52,8 @@
 {
 	size_t len = evbuffer_get_length(body);
 
-	return json_loadb((char *)evbuffer_pullup(body, -1), len, 0, NULL);
+	return json_load_bounded(
+	    (char *)evbuffer_pullup(body, -1), len, STATE_VALUES_MAX);
 }
 
 /* ---- state ---- */
@@ -313,7 +319,7 @@
 
 	while (!st->ended &&
 	       (line = evbuffer_readln(in, &len, EVBUFFER_EOL_LF)) != NULL) {
-		json_t *doc = json_loadb(line, len, 0, NULL);
+		json_t *doc = json_load_bounded(line, len, LINE_VALUES_MAX);
 
 		free(line);
 		if (doc == NULL)
@@ -370,6 +376,7 @@
 		.method = EVHTTP_REQ_POST,
 		.path = "/engine/generate",
 		.content_type = "application/json",
+		.max_body = LINE_MAX_BYTES,
 		.on_chunk = on_stream_data,
 		.on_done = on_stream_done,
 		.free_ctx = free,
--- a/test/process/test_endless_answers.c
+++ b/test/process/test_endless_answers.c
@@ -17,6 +17,7 @@
 #include "harness_fleet.h"
 
 #define MEMORY_MAX_KB (160 * 1024) /* of the smallest VM of a gateway */
+#define SIDECAR_MEMORY_MAX_KB (192 * 1024) /* of the smallest VM of one */
 #define CALLERS 12 /* every second one reads its response */
 #define TROUBLE_MS 700
 #define BOOKING_PAUSE_MS 20
@@ -40,12 +41,12 @@
 }
 
 static void
-assert_memory_bounded(void)
+assert_memory_below(const struct proc *p, int64_t max_kb)
 {
-	int64_t kb = peak_memory_kb(&fleet.gateways[0]);
+	int64_t kb = peak_memory_kb(p);
 
 	g_test_message("peak memory %d kB", (int)kb);
-	g_assert_cmpint(kb, <, MEMORY_MAX_KB);
+	g_assert_cmpint(kb, <, max_kb);
 }
 
 static int
@@ -152,11 +153,23 @@
 		    i == 0 ? "{\"endless\":\"x\",\"until_close\":true}"
 			   : "{\"endless\":\"x\",\"until_close\":false}");
 		run_beside_bookings("/faulty/1", NULL);
-		assert_memory_bounded();
+		assert_memory_below(&fleet.gateways[0], MEMORY_MAX_KB);
 	}
 	fleet_stop();
 }
 
+/* Each value of a report takes many times its three bytes. */
+static void
+test_large_report_exhausts_memory(void)
+{
+	fleet_start();
+	fleet_set_faults(fleet.engines, 1, "{\"report_values\":2000000}");
+	sleep_ms(SETTLE_MS);
+	proc_assert_running(&fleet.engines[0].sidecar);
+	assert_memory_below(&fleet.engines[0].sidecar, SIDECAR_MEMORY_MAX_KB);
+	fleet_stop();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -165,5 +178,7 @@
 	    test_endless_streams_exhaust_memory);
 	g_test_add_func("/endless/bodies_exhaust_memory",
 	    test_endless_bodies_exhaust_memory);
+	g_test_add_func("/endless/large_report_exhausts_memory",
+	    test_large_report_exhausts_memory);
 	return g_test_run();
 }
