agent, transport: an engine that doesn't end its answer no longer fills the agent

Callers would have waited for the deadline, and an engine that goes on after the tokens it was asked for fills the memory of its agent, which keeps them all so that an answer can be resumed.

Cause: tokens were checked for their order, not for number and size.

The first token beyond the request's, or beyond 16 MiB, ends the job and cancels the run at the engine.

--- a/src/agent/execute.c
+++ b/src/agent/execute.c
@@ -10,12 +10,15 @@
 #include <bsd/string.h>
 
 #include "common/clock.h"
+#include "common/log.h"
 #include "common/trace.h"
 #include "coordination/loader.h"
 
 /* Jobs that are lost with one end of the backend server are reported at once.
  */
 #define SAME_END_US (50 * USEC_PER_MSEC)
+/* Of an answer to one job, however many tokens it may have. */
+#define ANSWER_MAX_BYTES (16 * 1024 * 1024)
 
 static enum result
 lost_result(struct agent *a, struct job *job, bool conn_lost)
@@ -33,14 +36,31 @@
 
 /* ---- the engine ---- */
 
+/* Tokens are kept until the job ends, so that the answer can be resumed. */
+static bool
+exceeds_request(const struct job *job, const struct engine_token *token)
+{
+	return job->chunk_count >= job->args.max_tokens ||
+	       job->chunk_bytes + token->len > ANSWER_MAX_BYTES;
+}
+
 static void
 on_token(void *ctx, const struct engine_token *token)
 {
 	struct job *job = ctx;
+	struct agent *a = job->owner;
 
 	/* A repeated token, or a gap, which on_stream_end() finds by count. */
 	if (token->index != job->chunk_count)
 		return;
+	if (exceeds_request(job, token)) {
+		log_warn(a->daemon->logger, "engine does not end its answer",
+		    LF_S("request", job->hex), LF_I("tokens", job->tokens),
+		    LF_I("bytes", job->chunk_bytes));
+		agent_cancel_generation(a, job, RESULT_BACKEND_FAILED);
+		a->schedule(a);
+		return;
+	}
 	job_add_chunk(job, token->text, token->len);
 	job->tokens++;
 	agent_send_chunk(job, job->chunk_count - 1);
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -17,6 +17,7 @@
  *	slow		factor on token times, and on the times of loads that
  *			do not fetch from the weight store
  *	die_mid_load	accepted, without effect
+ *	endless		go on with answers after the tokens asked for
  *	crash_prompt	crash when the answer to a prompt with this text begins:
  *			close the connections of all streams, and accept no
  *			request for crash_ms
@@ -72,6 +73,8 @@
 		e->slow = json_number_value(value);
 	else if (strcmp(name, "die_mid_load") == 0)
 		e->die_mid_load = json_is_true(value);
+	else if (strcmp(name, "endless") == 0)
+		e->endless = json_is_true(value);
 	else if (strcmp(name, "crash_prompt") == 0)
 		strlcpy(e->crash_prompt, json_string_value(value),
 		    sizeof(e->crash_prompt));
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -43,6 +43,7 @@
 	int64_t fail_loads;
 	double slow;
 	bool die_mid_load;
+	bool endless;
 	char crash_prompt[ENGINE_NAME_MAX]; /* "": none */
 	int64_t crash_ms;
 	bool crashed; /* answers nothing but its journal */
--- a/src/standin/engine_runs.c
+++ b/src/standin/engine_runs.c
@@ -289,7 +289,7 @@
 	}
 	r->generated++;
 	e->tokens++;
-	if (r->generated >= r->max_tokens)
+	if (r->generated >= r->max_tokens && !e->endless)
 		end_run(r);
 	else
 		add_timer(r, (int64_t)((double)e->token_us * e->slow));
--- a/src/transport/engine_http.c
+++ b/src/transport/engine_http.c
@@ -433,6 +433,7 @@
 	op->done = done;
 	op->ctx = ctx;
 	snprintf(path, sizeof(path), "/engine/streams/%s", st->id);
+	st->ended = true; /* on_token() may have called this */
 	http_call_cancel(st->call);
 	http_client_call(engine->http, &call);
 }
--- a/test/process/test_endless_answers.c
+++ b/test/process/test_endless_answers.c
@@ -170,6 +170,37 @@
 	fleet_stop();
 }
 
+/* An agent keeps the tokens of an answer until its end. */
+static void
+test_endless_tokens_fill_agent(void)
+{
+	static const char *const headers[] = { "Rank: urgent",
+		"Content-Type: application/json", "Deadline-Ms: 8000", NULL };
+	struct cluster_options opts = {
+		.entries = 1, .engines = 1, .engine_args = { "--token-ms", "1" }
+	};
+	struct cluster *cluster = cluster_start(&opts);
+	struct response resp;
+
+	set_faults(cluster->engines[0].backend, "{\"endless\":true}");
+	http_call(&resp, "POST", cluster->entries[0].http, "/v1/completions",
+	    headers,
+	    "{\"model\":\"alpha\",\"prompt\":\"hello\",\"max_tokens\":3}");
+	g_assert_cmpint(resp.code, !=, 200);
+	/* It would go on until the deadline. */
+	g_assert_cmpfloat(resp.seconds, <, 4);
+	response_clear(&resp);
+	g_assert_true(proc_log_contains(
+	    &cluster->engines[0].daemon, "engine does not end its answer"));
+	set_faults(cluster->engines[0].backend, "{\"endless\":false}");
+	http_call(&resp, "POST", cluster->entries[0].http, "/v1/completions",
+	    headers,
+	    "{\"model\":\"alpha\",\"prompt\":\"hello\",\"max_tokens\":3}");
+	g_assert_cmpint(resp.code, ==, 200);
+	response_clear(&resp);
+	cluster_stop(cluster);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -180,5 +211,7 @@
 	    test_endless_bodies_exhaust_memory);
 	g_test_add_func("/endless/large_report_exhausts_memory",
 	    test_large_report_exhausts_memory);
+	g_test_add_func(
+	    "/endless/tokens_fill_agent", test_endless_tokens_fill_agent);
 	return g_test_run();
 }
