transport: what ends a request is decided once, strictly

Cause: evhttp's lenient reading was acted on, and a list of odd headers beside it did not have these.

http_framing reads the same bytes strictly; a request is served only if both readings agree, and refused with its connection closed otherwise.

--- a/src/gateway/exchange_start.c
+++ b/src/gateway/exchange_start.c
@@ -70,41 +70,6 @@
 	reply_problem(req, &p);
 }
 
-/*
- * evhttp is lenient about the headers that frame the body.  A proxy or replica
- * that reads them differently would take part of the body as a second request
- * (request smuggling).  Returns the fault, or NULL.
- */
-static const char *
-framing_fault(struct evhttp_request *req)
-{
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
-	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
-	const char *length = NULL;
-	struct evkeyval *h;
-	unsigned codings = 0;
-
-	TAILQ_FOREACH(h, headers, next) {
-		if (strcasecmp(h->key, "Transfer-Encoding") == 0)
-			codings++;
-		if (strcasecmp(h->key, "Content-Length") != 0)
-			continue;
-		if (length != NULL)
-			return "more than one Content-Length";
-		length = h->value;
-	}
-	if (coding != NULL && length != NULL)
-		return "both Content-Length and Transfer-Encoding";
-	if (codings > 1 ||
-	    (coding != NULL && strcasecmp(coding, "chunked") != 0))
-		return "unknown Transfer-Encoding";
-	if (length != NULL &&
-	    (length[0] == '\0' ||
-		strspn(length, "0123456789") != strlen(length)))
-		return "malformed Content-Length";
-	return NULL;
-}
-
 /* ---- routing ---- */
 
 static const struct route *
@@ -293,13 +258,17 @@
 void
 exchange_start(struct gateway *g, struct evhttp_request *req)
 {
-	const char *fault = framing_fault(req);
 	struct request_params params;
 	struct fleet_error err;
 	struct exchange *x;
 
-	if (fault != NULL) {
-		refuse_early(g, req, RESULT_BAD_REQUEST, fault);
+	if (http_request_header(req, "Host") == NULL) {
+		refuse_early(g, req, RESULT_BAD_REQUEST, "no Host");
+		return;
+	}
+	if (evhttp_request_get_uri(req)[0] != '/') {
+		refuse_early(g, req, RESULT_BAD_REQUEST,
+		    "the target does not begin with a slash");
 		return;
 	}
 	if (g->stop_us != 0 &&
--- a/src/transport/http_conns.c
+++ b/src/transport/http_conns.c
@@ -8,10 +8,12 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/http.h>
 #include <event2/listener.h>
 #include <uthash.h>
 
 #include "common/metrics.h"
+#include "transport/http_framing.h"
 
 #define SWEEP_INTERVAL_US 250000 /* greatest delay of a time-out */
 
@@ -24,6 +26,7 @@
 	bool received; /* bytes of the next request have arrived */
 	size_t buffered; /* bytes that evhttp has not parsed yet */
 	struct evbuffer *input; /* a key only: it may have been freed */
+	struct http_framing *framing;
 	bool shut; /* its reading side, by http_conns */
 	UT_hash_handle hh;
 	UT_hash_handle hh_input;
@@ -65,6 +68,33 @@
 	return conn;
 }
 
+#define EXTENTS_MAX 16
+
+/* Passes the last len bytes of the buffer on. */
+static void
+read_framing(struct conn *conn, struct evbuffer *in, size_t len)
+{
+	struct evbuffer_iovec extents[EXTENTS_MAX];
+	struct evbuffer_ptr at;
+
+	while (len > 0) {
+		int count;
+
+		evbuffer_ptr_set(
+		    in, &at, evbuffer_get_length(in) - len, EVBUFFER_PTR_SET);
+		count = evbuffer_peek(
+		    in, (ev_ssize_t)len, &at, extents, EXTENTS_MAX);
+		for (int i = 0; i < count && i < EXTENTS_MAX && len > 0; i++) {
+			size_t part =
+			    extents[i].iov_len < len ? extents[i].iov_len : len;
+
+			http_framing_read(
+			    conn->framing, extents[i].iov_base, part);
+			len -= part;
+		}
+	}
+}
+
 /* Runs for each change of an input buffer; the connection may be removed. */
 static void
 on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
@@ -74,8 +104,10 @@
 	if (conn == NULL)
 		return;
 	conn->buffered = info->orig_size + info->n_added - info->n_deleted;
-	if (info->n_added > 0)
-		conn->received = true;
+	if (info->n_added == 0)
+		return;
+	conn->received = true;
+	read_framing(conn, in, info->n_added);
 }
 
 static void
@@ -96,6 +128,7 @@
 	conn->input = input;
 	conn->buffered = evbuffer_get_length(input);
 	conn->received = conn->buffered > 0;
+	read_framing(conn, input, conn->buffered);
 	HASH_ADD(hh_input, c->by_input, input, sizeof(input), conn);
 	(void)evbuffer_add_cb(input, on_input, c);
 }
@@ -105,6 +138,7 @@
 {
 	unwatch_input(c, conn);
 	HASH_DEL(c->conns, conn);
+	http_framing_destroy(conn->framing);
 	free(conn);
 	*c->open_conns = (int64_t)HASH_COUNT(c->conns);
 }
@@ -224,6 +258,7 @@
 	if (conn == NULL)
 		abort();
 	conn->fd = fd;
+	conn->framing = http_framing_create(c->opts.max_body);
 	watch_input(c, conn, bufferevent_get_input(bev));
 	(void)getpeername(fd, (struct sockaddr *)&conn->peer, &len);
 	event_base_gettimeofday_cached(c->opts.base, &conn->idle_since);
@@ -257,6 +292,18 @@
 	event_active(c->register_event, 0, 0);
 }
 
+int
+http_conns_check_request(
+    struct http_conns *c, struct evhttp_request *req, const char **why)
+{
+	int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(
+	    evhttp_request_get_connection(req)));
+	struct conn *conn;
+
+	HASH_FIND_INT(c->conns, &fd, conn);
+	return conn == NULL ? 0 : http_framing_check(conn->framing, req, why);
+}
+
 void
 http_conns_request_received(struct http_conns *c, evutil_socket_t fd)
 {
--- a/src/transport/http_conns.h
+++ b/src/transport/http_conns.h
@@ -9,12 +9,14 @@
 #define TRANSPORT_HTTP_CONNS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include <event2/util.h>
 
 struct bufferevent;
 struct evconnlistener;
+struct evhttp_request;
 struct event_base;
 struct http_conns;
 struct metrics;
@@ -29,6 +31,7 @@
 	struct event_base *base;
 	struct metrics *metrics;
 	unsigned max; /* connections; 0: unlimited */
+	size_t max_body; /* bytes of a request */
 	struct http_conns_timeouts timeouts;
 	/* HTTP response to a connection over max; NULL: only closes it. */
 	const char *refusal;
@@ -49,6 +52,13 @@
  * event loop runs the next callback.
  */
 void http_conns_add(struct http_conns *, struct bufferevent *);
+/*
+ * Returns the HTTP status with which a request that evhttp has read must be
+ * refused, and its connection closed, or 0; see http_framing_check().  To be
+ * called once for each request.
+ */
+int http_conns_check_request(
+    struct http_conns *, struct evhttp_request *, const char **why);
 /* A complete request has arrived: no timeout applies until the response. */
 void http_conns_request_received(struct http_conns *, evutil_socket_t fd);
 /* The response has been written. */
--- /dev/null
+++ b/src/transport/http_framing.h
@@ -0,0 +1,40 @@
+/*
+ * http_framing -- decides what ends the requests of one connection.
+ *
+ * evhttp reads requests leniently: it takes names with spaces, folded lines and
+ * bare line feeds, and reads no body after some methods.  A proxy that forwards
+ * such a request could pass a part of it on as a second one (RFC 9112, section
+ * 11.2).  This reads the same bytes strictly with http_parser, and a request is
+ * served only if both readings agree.  See docs/design/http-edges.md.
+ */
+#ifndef TRANSPORT_HTTP_FRAMING_H
+#define TRANSPORT_HTTP_FRAMING_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+struct evhttp_request;
+struct http_framing;
+
+/* max_body: bytes; a longer body is a fault with status 413. */
+struct http_framing *http_framing_create(size_t max_body);
+void http_framing_destroy(struct http_framing *);
+
+/* Reads bytes of the connection, in their order. */
+void http_framing_read(struct http_framing *, const char *data, size_t len);
+
+/*
+ * Whether evhttp has read the connection's next request as this has.  Returns
+ * the HTTP status of the refusal after which the connection must be closed,
+ * with the fault in *why, or 0; then drops the request's trailer fields.
+ */
+int http_framing_check(
+    struct http_framing *, struct evhttp_request *, const char **why);
+
+/* The status and fault of a malformed request that is being read; 0: none. */
+int http_framing_fault(const struct http_framing *, const char **why);
+
+/* Bytes that have been read of the body of a request that is not complete. */
+size_t http_framing_body_read(const struct http_framing *);
+
+#endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -36,6 +36,7 @@
 	struct http_conns *conns;
 	uint64_t *refused_bodies;
 	uint64_t *refused_headers;
+	uint64_t *malformed;
 };
 
 struct http_close_watch {
@@ -125,9 +126,19 @@
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
 	const char *path = uri == NULL ? NULL : evhttp_uri_get_path(uri);
 	const struct http_route *route;
+	const char *why = NULL;
+	int fault = http_conns_check_request(server->conns, req, &why);
 	int status = find_exceeded_limit(server, req);
 
 	track_request(server, req);
+	if (fault != 0) {
+		/* What follows on the connection may be a part of its body. */
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+		    "Connection", "close");
+		(*server->malformed)++;
+	}
+	if (status == 0)
+		status = fault;
 	if (http_conns_is_shut(server->conns, request_fd(req))) {
 		/* It has crossed the close: the caller sees that instead. */
 		http_reply(req, HTTP_SERVUNAVAIL, "text/plain", "", 0);
@@ -170,6 +181,7 @@
 		.base = opts->base,
 		.metrics = opts->metrics,
 		.max = opts->max_connections,
+		.max_body = opts->max_body,
 		.timeouts = opts->timeouts,
 		.refusal = opts->tls == NULL ? opts->connection_refusal : NULL,
 	};
@@ -178,6 +190,8 @@
 	    opts->metrics, "http_refused_requests_total", "limit=\"body\"");
 	server->refused_headers = metrics_counter(
 	    opts->metrics, "http_refused_requests_total", "limit=\"headers\"");
+	server->malformed = metrics_counter(
+	    opts->metrics, "http_refused_requests_total", "limit=\"framing\"");
 	server->conns = http_conns_create(&conns);
 	return server->conns == NULL ? -1 : 0;
 }
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -942,6 +942,14 @@
 		"GET /book/1 HTTP/1.1\r\nHost: h.example\r\n"
 		"Tamarackmast-Request-Id: x4\r\n\r\n",
 		"POST /look/1 HTTP/1.1\r\nHost: h.example\r\n"
+		"Tamarackmast-Request-Id: x7\r\nContent-Length : 70\r\n\r\n"
+		"GET /book/1 HTTP/1.1\r\nHost: h.example\r\n"
+		"Tamarackmast-Request-Id: x8\r\n\r\n",
+		"HEAD /look/1 HTTP/1.1\r\nHost: h.example\r\n"
+		"Tamarackmast-Request-Id: x9\r\nContent-Length: 71\r\n\r\n"
+		"GET /book/1 HTTP/1.1\r\nHost: h.example\r\n"
+		"Tamarackmast-Request-Id: x10\r\n\r\n",
+		"POST /look/1 HTTP/1.1\r\nHost: h.example\r\n"
 		"Tamarackmast-Request-Id: x5\r\nContent-Length: 0\r\n"
 		"Content-Length: 60\r\n\r\n"
 		"GET /book/1 HTTP/1.1\r\nHost: h.example\r\n"
@@ -969,6 +977,38 @@
 	fleet_stop();
 }
 
+/* Requests that a gateway can't forward as they are, or not to one host. */
+static void
+test_odd_requests(void)
+{
+	static const char *const odd[] = {
+		"GET http://h.example/look/1 HTTP/1.1\r\nHost: h.example\r\n"
+		"Tamarackmast-Request-Id: o1\r\n\r\n",
+		"GET /look/1 HTTP/1.1\r\nTamarackmast-Request-Id: o2\r\n\r\n",
+		"GET /look/1 HTTP/1.1\r\nHost: h.example\r\nHost: x\r\n"
+		"Tamarackmast-Request-Id: o3\r\n\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: h.example\r\n"
+		"Tamarackmast-Request-Id: o4\r\n\r\n",
+	};
+	char buf[256];
+
+	fleet_start();
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		int fd = connect_gateway(0);
+		ssize_t n;
+
+		g_assert_cmpint((int)send(fd, odd[i], strlen(odd[i]), 0), >, 0);
+		n = recv(fd, buf, sizeof(buf) - 1, 0);
+		g_assert_cmpint((int)n, >, 12);
+		buf[n] = '\0';
+		g_assert_nonnull(strstr(buf, " 400 "));
+		close(fd);
+	}
+	g_assert_cmpint(
+	    fleet_sum_journals(fleet.services, FLEET_SERVICES, "runs"), ==, 0);
+	fleet_stop();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1018,5 +1058,6 @@
 	g_test_add_func("/gateway/aborted_stream_looks_complete_to_http_1_0",
 	    test_aborted_stream_looks_complete_to_http_1_0);
 	g_test_add_func("/gateway/smuggling", test_smuggling);
+	g_test_add_func("/gateway/odd_requests", test_odd_requests);
 	return g_test_run();
 }
