gateway, platform: all headers that fit are forwarded; Connection is read whole

A replica got requests without the headers that came beyond some 92, a prompt's prefix or token count among them, though all were a tenth of max_header_bytes; and only the first of several Connection headers was read, so that a header that a later one lists reached the replica.

Cause: a fixed array, and evhttp_find_header().

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -121,11 +121,10 @@
 static void
 pass_headers(struct exchange *x)
 {
-	const char *connection = evhttp_find_header(&x->headers, "Connection");
 	struct evkeyval *h;
 
 	TAILQ_FOREACH(h, &x->headers, next) {
-		if (!exchange_is_connection_header(h->key, connection))
+		if (!exchange_is_connection_header(h->key, &x->headers))
 			caller_add_header(x->caller, h->key, h->value);
 	}
 	if (x->gateway->stop_us != 0)
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -149,10 +149,17 @@
 void exchange_send(
     struct exchange *, struct backend *, int64_t predicted_us, uint32_t tokens);
 /*
- * Whether a header concerns one connection only, or is listed in `connection`:
- * the message's Connection header, or NULL.
+ * Whether a header concerns one connection only, or is listed in a Connection
+ * header of its message.
  */
-bool exchange_is_connection_header(const char *name, const char *connection);
+bool exchange_is_connection_header(
+    const char *name, const struct evkeyvalq *headers);
+/*
+ * Whether a request's Connection headers list one that the gateway reads: the
+ * replica would not get it.
+ */
+bool exchange_needs_dropped_header(
+    const struct gateway *, const struct evkeyvalq *headers);
 
 /* Sends it to its replica, once the replica's limit allows it. */
 void exchange_send_now(struct exchange *);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -1,4 +1,5 @@
 /* Sends a request to a replica, one with a long prompt by a prefill permit. */
+#include <stdlib.h>
 #include <string.h>
 
 #include <bsd/sys/queue.h>
@@ -15,7 +16,6 @@
 #include "protocol/tm_xdr.h"
 #include "state/deployment.h"
 
-#define HEADERS_MAX 96 /* sent to a replica; further ones are dropped */
 #define URGENCY_MAX 9 /* the least urgent level of an engine */
 /*
  * Shorter prompts do not delay running streams enough to need a permit: their
@@ -55,8 +55,22 @@
 	return false;
 }
 
+/* Any of several Connection fields may list it. */
+static bool
+is_listed(const char *name, const struct evkeyvalq *headers)
+{
+	struct evkeyval *h;
+
+	TAILQ_FOREACH(h, headers, next) {
+		if (strcasecmp(h->key, "Connection") == 0 &&
+		    list_has_token(h->value, name))
+			return true;
+	}
+	return false;
+}
+
 bool
-exchange_is_connection_header(const char *name, const char *connection)
+exchange_is_connection_header(const char *name, const struct evkeyvalq *headers)
 {
 	for (size_t i = 0;
 	     i < sizeof(connection_headers) / sizeof(connection_headers[0]);
@@ -64,30 +78,49 @@
 		if (strcasecmp(connection_headers[i], name) == 0)
 			return true;
 	}
-	return list_has_token(connection, name);
+	return is_listed(name, headers);
 }
 
-static void
-fill_headers(const struct exchange *x, const struct forward_headers *own,
-    struct http_header out[HEADERS_MAX])
+bool
+exchange_needs_dropped_header(
+    const struct gateway *g, const struct evkeyvalq *headers)
+{
+	struct evkeyval *h;
+
+	TAILQ_FOREACH(h, headers, next) {
+		if (g->driver->reads_header(h->key) &&
+		    is_listed(h->key, headers))
+			return true;
+	}
+	return false;
+}
+
+/* Returns the headers to send, to be freed; they end with a NULL name. */
+static struct http_header *
+forwarded_headers(const struct exchange *x, const struct forward_headers *own)
 {
 	struct evkeyvalq *in =
 	    evhttp_request_get_input_headers(caller_request(x->caller));
-	const char *connection = evhttp_find_header(in, "Connection");
-	size_t count = 0;
+	struct http_header *out;
+	size_t count = own->count + 1;
 	struct evkeyval *h;
 
+	TAILQ_FOREACH(h, in, next)
+		count++;
+	out = calloc(count, sizeof(*out));
+	if (out == NULL)
+		abort();
+	count = 0;
 	TAILQ_FOREACH(h, in, next) {
-		if (exchange_is_connection_header(h->key, connection) ||
-		    !x->gateway->driver->forwards_header(h->key) ||
-		    count + own->count + 1 >= HEADERS_MAX)
+		if (exchange_is_connection_header(h->key, in) ||
+		    !x->gateway->driver->forwards_header(h->key))
 			continue;
 		out[count].name = h->key;
 		out[count++].value = h->value;
 	}
 	for (unsigned i = 0; i < own->count; i++)
 		out[count++] = own->headers[i];
-	out[count].name = NULL;
+	return out;
 }
 
 /* The route's rank, within an engine's ten levels; -1 without a model. */
@@ -122,7 +155,7 @@
 	struct backend *b = x->backend;
 	struct evhttp_request *req = caller_request(x->caller);
 	struct forward_headers own;
-	struct http_header headers[HEADERS_MAX];
+	struct http_header *headers;
 	struct forward_params params = {
 		.left_us = exchange_left_us(x),
 		.replica = b->entry.id,
@@ -133,7 +166,6 @@
 	struct http_call_options opts = {
 		.method = evhttp_request_get_command(req),
 		.path = evhttp_request_get_uri(req),
-		.headers = headers,
 		.body = x->body,
 		.body_len = x->body_len,
 		.max_body = x->route->kind == ROUTE_STREAM
@@ -158,7 +190,8 @@
 	crash_guard_sent(g->crash_guard, &x->params);
 	quiet_send(&b->quiet, clock_now(g->process.clock));
 	g->driver->encode_forward(&params, &own);
-	fill_headers(x, &own, headers);
+	headers = forwarded_headers(x, &own);
+	opts.headers = headers;
 	x->attempts++;
 	x->code = 0;
 	x->has_event = false;
@@ -181,6 +214,7 @@
 		b->speed.stated_us == 0 ? -1 : x->sent_us - b->speed.stated_us),
 	    LF_I("left_us", params.left_us));
 	x->call = http_client_call(b->http, &opts);
+	free(headers);
 	exchange_arm_silence_timer(x);
 }
 
--- a/src/gateway/exchange_start.c
+++ b/src/gateway/exchange_start.c
@@ -266,6 +266,12 @@
 		refuse_early(g, req, RESULT_BAD_REQUEST, "no Host");
 		return;
 	}
+	if (exchange_needs_dropped_header(
+		g, evhttp_request_get_input_headers(req))) {
+		refuse_early(g, req, RESULT_BAD_REQUEST,
+		    "Connection lists a header that the request needs");
+		return;
+	}
 	if (evhttp_request_get_uri(req)[0] != '/') {
 		refuse_early(g, req, RESULT_BAD_REQUEST,
 		    "the target does not begin with a slash");
--- a/src/protocol/fleet.h
+++ b/src/protocol/fleet.h
@@ -318,6 +318,8 @@
 	    struct fleet_error *err);
 	/* Whether a caller's header is passed to the replica unchanged. */
 	bool (*forwards_header)(const char *name);
+	/* Whether decode_request() reads a header, whatever its case. */
+	bool (*reads_header)(const char *name);
 	void (*encode_forward)(
 	    const struct forward_params *, struct forward_headers *);
 	/* code: HTTP status of the answer. */
