--- a/src/protocol/caller.c
+++ b/src/protocol/caller.c
@@ -206,7 +206,7 @@
 	struct evhttp_request *req = finish_exchange(c);
 
 	if (req != NULL)
-		evhttp_send_reply(req, code, NULL, body);
+		http_reply_buffer(req, code, body);
 }
 
 void
@@ -348,7 +348,8 @@
 	struct evbuffer *out;
 
 	if (c->req == NULL || len == 0 ||
-	    evhttp_request_get_command(c->req) == EVHTTP_REQ_HEAD)
+	    !http_response_has_body(
+		c->req, evhttp_request_get_response_code(c->req)))
 		return 0;
 	out = connection_output(evhttp_request_get_connection(c->req));
 	if (evbuffer_get_length(out) + len > c->max_backlog) {
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -289,6 +289,23 @@
 	http_conns_response_sent(server->conns, request_fd(req));
 }
 
+bool
+http_response_has_body(struct evhttp_request *req, int code)
+{
+	return evhttp_request_get_command(req) != EVHTTP_REQ_HEAD &&
+	       code >= 200 && code != HTTP_NOCONTENT &&
+	       code != HTTP_NOTMODIFIED;
+}
+
+void
+http_reply_buffer(struct evhttp_request *req, int code, struct evbuffer *body)
+{
+	bool has_body = http_response_has_body(req, code);
+
+	/* evhttp would write it behind the head, as the next response. */
+	evhttp_send_reply(req, code, NULL, has_body ? body : NULL);
+}
+
 void
 http_reply(struct evhttp_request *req, int code, const char *content_type,
     const void *body, size_t len)
@@ -300,7 +317,7 @@
 	evbuffer_add(out, body, len);
 	evhttp_add_header(evhttp_request_get_output_headers(req),
 	    "Content-Type", content_type);
-	evhttp_send_reply(req, code, NULL, out);
+	http_reply_buffer(req, code, out);
 	evbuffer_free(out);
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -14,6 +14,7 @@
 
 #include "transport/http_conns.h"
 
+struct evbuffer;
 struct event_base;
 struct evhttp_request;
 struct http_server;
@@ -80,9 +81,13 @@
  */
 void http_server_response_sent(struct http_server *, struct evhttp_request *);
 
+/* Whether a response to this request has a body (RFC 9112, section 6.3). */
+bool http_response_has_body(struct evhttp_request *, int code);
 /* Sends a response with a body of the given type; code is the HTTP status. */
 void http_reply(struct evhttp_request *, int code, const char *content_type,
     const void *body, size_t len);
+/* The same without a type; drains the buffer. */
+void http_reply_buffer(struct evhttp_request *, int code, struct evbuffer *);
 /* Sends a JSON document, and steals the reference to it. */
 void http_reply_json(struct evhttp_request *, int code, struct json_t *);
 
