transport: 204 and 304 have no body, whatever length they state

A caller whose replica answers 204 or 304 with a Content-Length waited for its deadline, and the bytes of another answer could have been read as that body.

Cause: http_parser waits for the stated length, and only HEAD was told to it as without a body.

--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -269,6 +269,13 @@
 	return ++c->skipped_messages > SKIPPED_MESSAGES_MAX ? -1 : 0;
 }
 
+/* Whatever length the head states (RFC 9112, section 6.3). */
+static bool
+has_body(const struct http_call *call, unsigned code)
+{
+	return !call->is_head && code != 204 && code != 304;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -287,7 +294,7 @@
 	if (c->dead || (c->discarding && skip_message(c) == -1))
 		return -1;
 	call->code = parser->status_code;
-	return call->is_head ? 1 : 0;
+	return has_body(call, parser->status_code) ? 0 : 1;
 }
 
 static int
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -464,6 +464,14 @@
 	static const struct step garbage[] = { { "\x01\x02 no answer\r\n\r\n",
 	    KEEP } };
 	static const struct step nothing[] = { { "", CLOSE } };
+	static const struct step no_content[] = {
+		{ "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+		    KEEP }
+	};
+	static const struct step not_modified[] = {
+		{ "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+		    KEEP }
+	};
 	static const struct step interim[] = {
 		{ "HTTP/1.1 100 Continue\r\n\r\n" OK_A, KEEP }
 	};
@@ -474,6 +482,8 @@
 	check_call(chunk, HTTP_CALL_FAILED, "", false);
 	check_call(garbage, HTTP_CALL_FAILED, "", false);
 	check_call(nothing, HTTP_CALL_FAILED, "", false);
+	check_call(no_content, HTTP_CALL_OK, "", false);
+	check_call(not_modified, HTTP_CALL_OK, "", false);
 	check_call(interim, HTTP_CALL_OK, "a", false);
 }
 
