--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -130,6 +130,8 @@
 	c->skipped_bytes = 0;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
+	c->octets = (struct http_octets){ .allows_lf = true };
+	http_octets_begin(&c->octets);
 	write_request(call->client, c, opts);
 	return 0;
 }
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include <sys/socket.h>
 
@@ -241,6 +242,8 @@
 
 	if (c->has_value)
 		store_header(c);
+	if (http_octets_in_name(at, len))
+		return -1;
 	if (c->name_len + len >= HEADER_NAME_MAX)
 		return -1;
 	memcpy(c->name + c->name_len, at, len);
@@ -269,6 +272,28 @@
 	return ++c->skipped_messages > SKIPPED_MESSAGES_MAX ? -1 : 0;
 }
 
+/* What RFC 9112, section 6.3, lets a recipient repair is an error here. */
+static bool
+has_clear_length(const struct http_client_conn *c)
+{
+	static const char chunked[] = "chunked";
+	unsigned lengths = 0, codings = 0;
+	struct evkeyval *h;
+
+	TAILQ_FOREACH(h, &c->headers, next) {
+		if (strcasecmp(h->key, "Content-Length") == 0)
+			lengths++;
+		if (strcasecmp(h->key, "Transfer-Encoding") != 0)
+			continue;
+		codings++;
+		if (strncasecmp(h->value, chunked, strlen(chunked)) != 0 ||
+		    h->value[strlen(chunked) +
+			     strspn(h->value + strlen(chunked), " \t")] != '\0')
+			return false;
+	}
+	return lengths <= 1 && codings <= 1 && lengths + codings <= 1;
+}
+
 /* Whatever length the head states (RFC 9112, section 6.3). */
 static bool
 has_body(const struct http_call *call, unsigned code)
@@ -283,8 +308,10 @@
 	struct http_call *call = c->call;
 
 	store_header(c);
-	if (call == NULL)
+	if (call == NULL || !has_clear_length(c))
 		return -1;
+	http_octets_head_complete(&c->octets, (parser->flags & F_CHUNKED) != 0);
+	http_parser_pause(parser, 1);
 	if (parser->status_code < 200)
 		return skip_message(c);
 	if (call->opts.on_headers != NULL &&
@@ -313,13 +340,36 @@
 	return call->over_limit ? -1 : 0;
 }
 
+static int
+on_chunk_header(http_parser *parser)
+{
+	struct http_client_conn *c = parser->data;
+
+	http_octets_chunk_header(&c->octets, parser->content_length == 0);
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static int
+on_chunk_complete(http_parser *parser)
+{
+	struct http_client_conn *c = parser->data;
+
+	http_octets_chunk_complete(&c->octets);
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
 static int
 on_message_complete(http_parser *parser)
 {
 	struct http_client_conn *c = parser->data;
 
-	if (parser->status_code < 200 || c->discarding)
+	if (parser->status_code < 200 || c->discarding) {
+		http_octets_begin(&c->octets);
+		http_parser_pause(parser, 1);
 		return 0;
+	}
 	c->complete = true;
 	/* Any bytes after the response stay unread; can_keep_alive() fails. */
 	http_parser_pause(parser, 1);
@@ -331,6 +381,8 @@
 	.on_header_field = on_header_field,
 	.on_header_value = on_header_value,
 	.on_headers_complete = on_headers_complete,
+	.on_chunk_header = on_chunk_header,
+	.on_chunk_complete = on_chunk_complete,
 	.on_body = on_body,
 	.on_message_complete = on_message_complete,
 };
@@ -384,19 +436,45 @@
 		evtimer_add(call->timer, &tv);
 }
 
-/* Parses received data; len 0: the server has closed the connection. */
+/*
+ * Parses data until the answer is complete; len 0: the server has closed the
+ * connection.  Adds what has been read to *used.  Returns -1 if it is malformed
+ * or the connection was closed.
+ */
+static int
+execute(struct http_client_conn *c, const char *data, size_t len, size_t *used)
+{
+	do {
+		struct http_octets before = c->octets;
+		size_t n = http_parser_execute(
+		    &c->parser, &parser_settings, data, len);
+		enum http_errno err = HTTP_PARSER_ERRNO(&c->parser);
+
+		if (c->dead || (err != HPE_OK && err != HPE_PAUSED))
+			return -1;
+		if (!c->complete)
+			http_parser_pause(&c->parser, 0);
+		if (http_octets_read(&c->octets, &before, data, n) != NULL)
+			return -1;
+		data += n;
+		len -= n;
+		*used += n;
+	} while (len > 0 && !c->complete);
+	return 0;
+}
+
+/* len 0: the server has closed the connection. */
 static void
 parse_response(struct http_client_conn *c, const char *data, size_t len)
 {
-	size_t used =
-	    http_parser_execute(&c->parser, &parser_settings, data, len);
-	enum http_errno err = HTTP_PARSER_ERRNO(&c->parser);
+	size_t used = 0;
+	int rc = execute(c, data, len, &used);
 
 	if (c->dead)
 		return;
 	if (len > 0)
 		evbuffer_drain(bufferevent_get_input(c->bev), used);
-	if (err != HPE_OK && err != HPE_PAUSED) {
+	if (rc == -1) {
 		deliver_body(c);
 		if (!c->dead)
 			conn_failed(c);
--- a/src/transport/http_client_internal.h
+++ b/src/transport/http_client_internal.h
@@ -14,6 +14,7 @@
 
 #include "common/addr.h"
 #include "transport/http_client.h"
+#include "transport/http_octets.h"
 
 #define HEADER_NAME_MAX 256 /* size with the NUL; a longer one is an error */
 #define HEADER_VALUE_MAX 16384 /* size with the NUL */
@@ -37,6 +38,7 @@
 	bool complete; /* the call's response has been read */
 	bool ended_by_close; /* its end was the end of the connection */
 	http_parser parser;
+	struct http_octets octets;
 	struct evkeyvalq headers; /* of the response */
 	char name[HEADER_NAME_MAX]; /* header that is being read */
 	size_t name_len;
--- a/src/transport/http_framing.c
+++ b/src/transport/http_framing.c
@@ -12,6 +12,8 @@
 #include <event2/keyvalq_struct.h>
 #include <http_parser.h>
 
+#include "transport/http_octets.h"
+
 #define STATUS_BAD_REQUEST 400
 #define STATUS_TOO_LARGE 413
 #define STATUS_HEADERS_TOO_LARGE 431
@@ -44,13 +46,9 @@
 
 	/* The request that is being read: */
 	struct shape shape;
-	bool in_head;
+	struct http_octets octets;
 	bool in_trailer; /* the head is complete */
-	bool in_lines; /* of the head or the trailer */
-	bool in_size; /* the line with a chunk's size */
-	bool line_ended; /* of a chunk's size, or behind its data */
 	bool complete;
-	char last[2]; /* bytes read before */
 	bool in_value;
 	size_t spaces; /* at the end of the value so far */
 	char name[20]; /* of the field, as far as it fits */
@@ -141,7 +139,7 @@
 		else
 			f->shape.field_count++;
 	}
-	if (memchr(at, ' ', len) != NULL) {
+	if (http_octets_in_name(at, len)) {
 		set_fault(f, STATUS_BAD_REQUEST, "space in a name");
 		return -1;
 	}
@@ -229,7 +227,8 @@
 		set_fault(f, STATUS_TOO_LARGE, "body over the limit");
 		return -1;
 	}
-	/* http_framing_read() examines the bytes of the head. */
+	http_octets_head_complete(
+	    &f->octets, f->field_counts[FIELD_CODING] > 0);
 	http_parser_pause(parser, 1);
 	return 0;
 }
@@ -239,9 +238,7 @@
 {
 	struct http_framing *f = parser->data;
 
-	f->line_ended = true;
-	f->in_size = false;
-	f->in_lines = parser->content_length == 0; /* of the trailer follow */
+	http_octets_chunk_header(&f->octets, parser->content_length == 0);
 	if (parser->content_length <= f->max_body - f->shape.body_len) {
 		http_parser_pause(parser, 1);
 		return 0;
@@ -255,8 +252,7 @@
 {
 	struct http_framing *f = parser->data;
 
-	f->line_ended = !f->in_lines;
-	f->in_size = !f->in_lines;
+	http_octets_chunk_complete(&f->octets);
 	http_parser_pause(parser, 1);
 	return 0;
 }
@@ -301,11 +297,8 @@
 	http_parser_init(&f->parser, HTTP_REQUEST);
 	f->parser.data = f;
 	f->complete = false;
-	f->in_head = true;
-	f->in_lines = true;
-	f->in_size = false;
 	f->in_trailer = false;
-	f->last[1] = 0;
+	http_octets_begin(&f->octets);
 }
 
 struct http_framing *
@@ -329,48 +322,6 @@
 	free(f);
 }
 
-/* What http_parser takes in a head although RFC 9112 does not allow it. */
-static const char *
-byte_fault(char last, char c)
-{
-	unsigned char u = (unsigned char)c;
-
-	if ((last == '\r') != (c == '\n'))
-		return "bare CR or LF";
-	if (last == '\n' && (c == ' ' || c == '\t'))
-		return "folded line, or space before a name";
-	if ((u < ' ' && c != '\t' && c != '\r' && c != '\n') || u == 0x7f)
-		return "control byte";
-	return NULL;
-}
-
-/* Notes what the parser has read; examines what it takes for lines. */
-static void
-note_bytes(struct http_framing *f, const char *data, size_t len, bool lines)
-{
-	for (size_t i = 0; i < len; i++) {
-		const char *why =
-		    lines ? byte_fault(f->last[1], data[i]) : NULL;
-
-		if (why != NULL) {
-			set_fault(f, STATUS_BAD_REQUEST, why);
-			return;
-		}
-		f->last[0] = f->last[1];
-		f->last[1] = data[i];
-	}
-	if (f->line_ended && (f->last[0] != '\r' || f->last[1] != '\n'))
-		set_fault(f, STATUS_BAD_REQUEST, "chunk without CR LF");
-	f->line_ended = false;
-}
-
-static bool
-has_space(const char *data, size_t len)
-{
-	return memchr(data, ' ', len) != NULL ||
-	       memchr(data, '\t', len) != NULL;
-}
-
 static void
 add_shape(struct http_framing *f)
 {
@@ -397,25 +348,18 @@
 http_framing_read(struct http_framing *f, const char *data, size_t len)
 {
 	while (len > 0 && f->fault_status == 0) {
-		bool lines = f->in_lines, size = f->in_size;
+		struct http_octets before = f->octets;
 		size_t used = http_parser_execute(
 		    &f->parser, &parser_settings, data, len);
+		const char *why;
 
 		note_parser_error(f, HTTP_PARSER_ERRNO(&f->parser));
 		if (f->fault_status != 0)
 			return;
 		http_parser_pause(&f->parser, 0);
-		note_bytes(f, data, used, lines);
-		if (size && has_space(data, used))
-			set_fault(
-			    f, STATUS_BAD_REQUEST, "space in a chunk size");
-		if (f->in_head && f->in_trailer) {
-			/* The head's last byte is read again. */
-			note_bytes(f, data + used, 1, lines);
-			f->in_head = false;
-			f->in_lines = false;
-			f->in_size = f->field_counts[FIELD_CODING] > 0;
-		}
+		why = http_octets_read(&f->octets, &before, data, used);
+		if (why != NULL)
+			set_fault(f, STATUS_BAD_REQUEST, why);
 		data += used;
 		len -= used;
 		if (f->complete && f->fault_status == 0) {
@@ -505,5 +449,5 @@
 size_t
 http_framing_body_read(const struct http_framing *f)
 {
-	return f->in_head ? 0 : f->shape.body_len;
+	return f->octets.in_head ? 0 : f->shape.body_len;
 }
--- /dev/null
+++ b/src/transport/http_octets.c
@@ -0,0 +1,109 @@
+#include "transport/http_octets.h"
+
+#include <string.h>
+
+void
+http_octets_begin(struct http_octets *o)
+{
+	o->in_head = true;
+	o->in_lines = true;
+	o->in_size = false;
+	o->line_ended = false;
+	o->last[0] = o->last[1] = 0;
+}
+
+void
+http_octets_head_complete(struct http_octets *o, bool chunked)
+{
+	o->in_head = false;
+	o->in_lines = false;
+	o->in_size = chunked;
+}
+
+void
+http_octets_chunk_header(struct http_octets *o, bool is_last)
+{
+	o->line_ended = true;
+	o->in_size = false;
+	o->in_lines = is_last; /* those of the trailer follow */
+}
+
+void
+http_octets_chunk_complete(struct http_octets *o)
+{
+	/* The last chunk has no data, and the trailer's lines are its end. */
+	o->line_ended = !o->in_lines;
+	o->in_size = !o->in_lines;
+}
+
+static const char *
+byte_fault(const struct http_octets *o, char c)
+{
+	unsigned char u = (unsigned char)c;
+	char last = o->last[1];
+
+	if (o->in_head && last == 0 && (c == '\r' || c == '\n'))
+		return "empty line before a message";
+	if ((last == '\r' && c != '\n') ||
+	    (c == '\n' && last != '\r' && !(o->allows_lf && o->in_head)))
+		return "bare CR or LF";
+	if (last == '\n' && (c == ' ' || c == '\t'))
+		return "folded line, or space before a name";
+	if ((u < ' ' && c != '\t' && c != '\r' && c != '\n') || u == 0x7f)
+		return "control byte";
+	return NULL;
+}
+
+/* An extension may follow the size. */
+static bool
+has_space_in_size(const char *data, size_t len)
+{
+	const char *end = memchr(data, ';', len);
+	size_t size_len = end == NULL ? len : (size_t)(end - data);
+
+	return memchr(data, ' ', size_len) != NULL ||
+	       memchr(data, '\t', size_len) != NULL;
+}
+
+static const char *
+note_bytes(struct http_octets *o, const struct http_octets *before,
+    const char *data, size_t len)
+{
+	struct http_octets at = *before;
+
+	for (size_t i = 0; i < len; i++) {
+		const char *why = at.in_lines ? byte_fault(&at, data[i]) : NULL;
+
+		if (why != NULL)
+			return why;
+		at.last[0] = at.last[1];
+		at.last[1] = data[i];
+	}
+	memcpy(o->last, at.last, sizeof(o->last));
+	return NULL;
+}
+
+const char *
+http_octets_read(struct http_octets *o, const struct http_octets *before,
+    const char *data, size_t len)
+{
+	bool head_ends = before->in_head && !o->in_head;
+	const char *why = note_bytes(o, before, data, len + head_ends);
+
+	if (why != NULL)
+		return why;
+	if (head_ends) /* it is passed again */
+		o->last[1] = o->last[0];
+	if (before->in_size && has_space_in_size(data, len))
+		return "space in a chunk's size";
+	if (o->line_ended && (o->last[0] != '\r' || o->last[1] != '\n'))
+		return "chunk without CR LF";
+	o->line_ended = false;
+	return NULL;
+}
+
+bool
+http_octets_in_name(const char *name, size_t len)
+{
+	return memchr(name, ' ', len) != NULL;
+}
--- a/test/unit/strict_http.h
+++ b/test/unit/strict_http.h
@@ -10,7 +10,7 @@
 
 #include <glib.h>
 
-#define STRICT_FIELDS_MAX 256
+#define STRICT_FIELDS_MAX 512
 
 struct strict_request {
 	char *method;
@@ -61,6 +61,21 @@
 	return -1;
 }
 
+/* The same of an answer's head, where LF alone may end a line; moves *at on. */
+static inline gssize
+strict_head_line(const char **at, const char *end)
+{
+	const char *nl = memchr(*at, '\n', (size_t)(end - *at)), *begin = *at;
+
+	if (nl == NULL)
+		return -1;
+	*at = nl + 1;
+	if (nl > begin && nl[-1] == '\r')
+		nl--;
+	return memchr(begin, '\r', (size_t)(nl - begin)) == NULL ? nl - begin
+								 : -1;
+}
+
 static inline bool
 strict_is_text(const char *text, size_t len)
 {
