--- a/src/protocol/event_stream.c
+++ b/src/protocol/event_stream.c
@@ -1,10 +1,11 @@
 #include "protocol/event_stream.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include <event2/buffer.h>
 
+#include "common/number.h"
+
 /* len: with the LF, or CR LF, at its end. */
 static bool
 is_blank(const char *line, size_t len)
@@ -12,16 +13,19 @@
 	return len == 1 || (len == 2 && line[0] == '\r');
 }
 
+/* len: with the end of the line.  An id that is no number counts as none. */
 static void
 parse_id(const char *line, size_t len, struct stream_event *ev)
 {
 	static const char name[] = "id:";
-	char *end;
+	size_t at = strlen(name), digits;
 
-	if (len <= strlen(name) || memcmp(line, name, strlen(name)) != 0)
+	if (len <= at || memcmp(line, name, at) != 0)
 		return;
-	ev->id = strtoull(line + strlen(name), &end, 10);
-	ev->has_id = end != line + strlen(name);
+	at += line[at] == ' ';
+	digits = number_read(line + at, len - at, UINT64_MAX, &ev->id);
+	at += digits;
+	ev->has_id = digits > 0 && (line[at] == '\r' || line[at] == '\n');
 }
 
 bool
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 
 #include "common/clock.h"
+#include "common/number.h"
 #include "transport/http_client_internal.h"
 #include "transport/socket.h"
 #include "transport/tls.h"
@@ -18,6 +19,7 @@
  * a request sent at the same time as the server closes it would be lost.
  */
 #define KEEP_ALIVE_MARGIN_US 1000000
+#define KEEP_ALIVE_MAX_S 86400 /* a longer one is cut to this */
 
 /* ---- connections ---- */
 
@@ -167,11 +169,13 @@
 	int64_t us = c->client->opts.idle_timeout_us;
 	const char *at = value == NULL ? NULL : strstr(value, "timeout=");
 	int64_t server_us;
+	uint64_t seconds;
 
 	if (at == NULL)
 		return us;
-	server_us = strtoll(at + strlen("timeout="), NULL, 10) * 1000000 -
-		    KEEP_ALIVE_MARGIN_US;
+	at += strlen("timeout=");
+	(void)number_read(at, strlen(at), KEEP_ALIVE_MAX_S, &seconds);
+	server_us = (int64_t)seconds * 1000000 - KEEP_ALIVE_MARGIN_US;
 	if (server_us <= 0)
 		return 1;
 	return us == 0 || server_us < us ? server_us : us;
--- a/test/unit/test_gateway_policies.c
+++ b/test/unit/test_gateway_policies.c
@@ -1083,6 +1083,25 @@
 	}
 }
 
+/* Guards against an id that makes all later events look like repeats. */
+static void
+test_event_stream_odd_ids(void)
+{
+	static const char *const none[] = { "id: -1\n\n", "id: x\n\n",
+		"id:\n5\n\n", "id: 18446744073709551616\n\n", "id: 1 \n\n",
+		"id:  1\n\n", "id: 1x\n\n", "id: +1\n\n" };
+	struct stream_event ev;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(none); i++) {
+		struct evbuffer *buf = evbuffer_new();
+
+		evbuffer_add(buf, none[i], strlen(none[i]));
+		g_assert_true(event_stream_next(buf, &ev));
+		g_assert_false(ev.has_id);
+		evbuffer_free(buf);
+	}
+}
+
 static void
 test_event_stream_cut(void)
 {
@@ -1158,6 +1177,7 @@
 	g_test_add_func("/outlier", test_outlier);
 	g_test_add_func("/pace_and_rate", test_prefill_factor_and_rate);
 	g_test_add_func("/event_stream/events", test_event_stream);
+	g_test_add_func("/event_stream/odd_ids", test_event_stream_odd_ids);
 	g_test_add_func("/event_stream/filler_is_progress",
 	    test_event_stream_filler_is_progress);
 	g_test_add_func("/event_stream/cut", test_event_stream_cut);
