gateway, transport: a stream whose replica has ended isn't complete

Cause: the close was the only sign of the end. Evidence, on: /gateway/ended_replica_looks_complete: 'strstr(answer->str, text)' should not be NULL (an event is missing from an answer that looks complete)

A connection to the replica is now tried before such a stream ends for its caller: refused, the stream is resumed or broken off.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -9,6 +9,7 @@
 
 #include <bsd/sys/queue.h>
 #include <event2/buffer.h>
+#include <event2/event.h>
 
 #include "common/clock.h"
 #include "common/log.h"
@@ -26,6 +27,9 @@
 #define HTTP_MISDIRECTED 421 /* RFC 9110, section 15.5.20 */
 /* Gateways return to a replica at different times after its pause. */
 #define QUIET_SPREAD_US (200 * USEC_PER_MSEC)
+/* A process that is ending closes its connections within this time. */
+#define CHECK_US (10 * USEC_PER_MSEC)
+#define CHECKS_MAX 2 /* connections that are tried */
 #define AVG_ANSWER_WEIGHT 0.1 /* of the newest answer in avg_answer_us */
 
 /* ---- retries ---- */
@@ -394,6 +398,66 @@
 	exchange_finish(x, "stream");
 }
 
+static void on_answer(struct exchange *, struct evbuffer *body);
+static void on_replica_checked(void *exchange, const struct http_response *);
+
+static void
+try_connection(struct exchange *x)
+{
+	struct http_call_options opts = {
+		.method = EVHTTP_REQ_GET,
+		.path = "/",
+		.connect_only_us = CHECK_US,
+		.on_done = on_replica_checked,
+		.ctx = x,
+	};
+
+	x->checks++;
+	x->call = http_client_call(x->backend->http, &opts);
+}
+
+static void
+on_replica_checked(void *ctx, const struct http_response *resp)
+{
+	struct exchange *x = ctx;
+	struct evbuffer *nothing;
+
+	x->call = NULL;
+	if (resp->status == HTTP_CALL_NOT_SENT) {
+		lose_answer(x, "replica ended with the stream", false);
+		return;
+	}
+	/* It may have ended just now, or take no more connections. */
+	if (resp->status != HTTP_CALL_OK && x->checks < CHECKS_MAX) {
+		try_connection(x);
+		return;
+	}
+	x->replica_lives = true;
+	nothing = evbuffer_new();
+	if (nothing == NULL)
+		abort();
+	on_answer(x, nothing);
+	evbuffer_free(nothing);
+}
+
+/*
+ * A stream that ends with its connection looks whole if its replica ends
+ * between two events.  A process that has ended accepts no connection, and one
+ * that is ending does not keep it; so one is tried before the caller gets an
+ * end that looks complete.
+ */
+static void
+check_replica(struct exchange *x, struct evbuffer *body)
+{
+	size_t len = evbuffer_get_length(body);
+
+	event_del(x->silence_timer);
+	(void)caller_reply_chunk(
+	    x->caller, evbuffer_pullup(body, (ev_ssize_t)len), len);
+	x->checks = 0;
+	try_connection(x);
+}
+
 static void
 pass_answer(struct exchange *x, struct evbuffer *body)
 {
@@ -456,6 +520,10 @@
 		lose_answer(x, "stream broken off", false);
 		return;
 	}
+	if (x->relaying && x->ended_by_close && !x->replica_lives) {
+		check_replica(x, body);
+		return;
+	}
 	exchange_note_outcome(x, x->code >= 500 ? OUTLIER_ERROR : OUTLIER_OK);
 	update_avg_answer(x);
 	if (ok) {
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -67,6 +67,8 @@
 	int64_t last_event_us; /* when the newest event came */
 	int64_t max_gap_us; /* longest pause between events */
 	bool ended_by_close; /* the last answer, see struct http_response */
+	unsigned checks; /* connections tried for replica_lives */
+	bool replica_lives; /* it accepted a connection after ended_by_close */
 	size_t unfinished; /* its bytes after the last complete event */
 	bool has_event; /* it has a complete event */
 	size_t since_event; /* bytes passed on since its last event */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -195,6 +195,7 @@
 	x->attempts++;
 	x->code = 0;
 	x->has_event = false;
+	x->replica_lives = false;
 	x->since_event = 0;
 	x->sent_us = clock_now(g->process.clock);
 	exchange_note_tried(x, b);
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -118,8 +118,8 @@
 static int
 start_call(struct http_call *call, const struct http_call_options *opts)
 {
-	struct http_client_conn *c =
-	    acquire_conn(call->client, opts->new_connection);
+	struct http_client_conn *c = acquire_conn(
+	    call->client, opts->new_connection || opts->connect_only_us > 0);
 
 	if (c == NULL)
 		return -1;
@@ -132,7 +132,8 @@
 	c->parser.data = c;
 	c->octets = (struct http_octets){ .allows_lf = true };
 	http_octets_begin(&c->octets);
-	write_request(call->client, c, opts);
+	if (opts->connect_only_us == 0)
+		write_request(call->client, c, opts);
 	return 0;
 }
 
@@ -147,6 +148,7 @@
 		abort();
 	call->client = client;
 	call->new_connection = opts->new_connection;
+	call->connect_only_us = opts->connect_only_us;
 	call->is_head = opts->method == EVHTTP_REQ_HEAD;
 	call->opts = *opts;
 	call->max_body =
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -117,6 +117,12 @@
 	int64_t stall_us;
 	size_t max_body; /* see http_client_options; 0: the client's */
 	bool new_connection; /* don't use, nor become, an idle connection */
+	/*
+	 * Not 0: only opens a connection, sends nothing, and closes it after
+	 * this time: HTTP_CALL_OK without anything else if the server has kept
+	 * it, HTTP_CALL_FAILED if it has closed it.
+	 */
+	int64_t connect_only_us;
 	/* Called before the body is read; NULL: any response is accepted. */
 	enum http_response_verdict (*on_headers)(
 	    void *ctx, int code, struct evkeyvalq *headers);
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -512,9 +512,15 @@
 on_connected(struct http_client_conn *c)
 {
 	int fd = bufferevent_getfd(c->bev);
+	struct http_call *call = c->call;
+	struct timeval tv;
 
 	c->connected = true;
 	event_del(c->timer);
+	if (call != NULL && call->connect_only_us > 0) {
+		tv = clock_timeval(call->connect_only_us);
+		event_add(c->timer, &tv);
+	}
 	tls_set_nodelay(fd);
 	socket_set_peer_timeout(fd, c->client->opts.peer_timeout_us);
 }
@@ -543,11 +549,23 @@
 	conn_failed(c);
 }
 
-/* The connection could not be opened in time, or was idle for too long. */
+/*
+ * The connection could not be opened in time, or was idle for too long, or has
+ * been kept for as long as a call wanted no more than that.
+ */
 static void
 on_conn_timer(evutil_socket_t fd, short what, void *arg)
 {
-	conn_failed(arg);
+	const struct http_response kept = { .status = HTTP_CALL_OK };
+	struct http_client_conn *c = arg;
+	struct http_call *call = c->call;
+
+	if (!c->connected || call == NULL) {
+		conn_failed(c);
+		return;
+	}
+	http_client_conn_close(c);
+	report_response(call, &kept);
 }
 
 struct http_client_conn *
--- a/src/transport/http_client_internal.h
+++ b/src/transport/http_client_internal.h
@@ -55,6 +55,7 @@
 	struct event *start_failure; /* reports a call without connection */
 	bool ended;
 	bool new_connection;
+	int64_t connect_only_us; /* as in struct http_call_options */
 	bool over_limit; /* as in struct http_response */
 	bool is_head; /* method HEAD: the response has no body */
 	int code;
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -880,6 +880,72 @@
 	fleet_stop();
 }
 
+/* Whether a response in chunks has its end. */
+static bool
+looks_complete(const GString *answer)
+{
+	return g_str_has_suffix(answer->str, "\r\n0\r\n\r\n");
+}
+
+/* Sends a stream's request; returns all that comes once some engines ended. */
+static GString *
+receive_from_ended(int engines)
+{
+	static const char request[] = "GET /stream/1 HTTP/1.1\r\n"
+				      "Host: h.example\r\n"
+				      "Tamarackmast-Request-Id: ended1\r\n"
+				      "Tamarackmast-Deadline-Ms: 3000\r\n"
+				      "Tamarackmast-Model: m1\r\n\r\n";
+	GString *answer = g_string_new(NULL);
+	struct timeval tv = { 4, 0 };
+	char buf[512];
+	ssize_t n;
+	int fd, first;
+
+	fd = connect_gateway(0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	g_assert_cmpint((int)send(fd, request, sizeof(request) - 1, 0), >, 0);
+	while (strstr(answer->str, "ended1-2") == NULL) {
+		n = recv(fd, buf, sizeof(buf), 0);
+		g_assert_cmpint((int)n, >, 0);
+		g_string_append_len(answer, buf, n);
+	}
+	first = read_journal_int(fleet.engines[0].address, "runs") == 1 ? 0 : 1;
+	for (int i = 0; i < engines; i++)
+		proc_kill(&fleet.engines[(first + i) % FLEET_ENGINES].replica);
+	while (
+	    !looks_complete(answer) && (n = recv(fd, buf, sizeof(buf), 0)) > 0)
+		g_string_append_len(answer, buf, n);
+	close(fd);
+	return answer;
+}
+
+/*
+ * The process of a replica ends between two events of a stream without a
+ * length: the caller must not get a part of it as a whole answer.
+ */
+static void
+test_ended_replica_looks_complete(void)
+{
+	GString *answer;
+	char text[32];
+
+	for (int engines = 1; engines <= FLEET_ENGINES; engines++) {
+		fleet_start();
+		fleet_set_faults(fleet.engines, FLEET_ENGINES,
+		    "{\"until_close\":true,\"event_ms\":100}");
+		answer = receive_from_ended(engines);
+		/* The other engine, if there is one, goes on. */
+		g_assert_cmpint(looks_complete(answer), ==, engines == 1);
+		for (int n = 1; n <= FLEET_EVENTS && engines == 1; n++) {
+			g_snprintf(text, sizeof(text), "data: ended1-%d\n", n);
+			g_assert_nonnull(strstr(answer->str, text));
+		}
+		g_string_free(answer, TRUE);
+		fleet_stop();
+	}
+}
+
 /*
  * A connection without a complete request is closed after the sum of
  * header_timeout_ms and idle_timeout_ms, counted from its start or its last
@@ -1063,6 +1129,8 @@
 	g_test_add_func("/gateway/idle_callers", test_idle_callers);
 	g_test_add_func("/gateway/aborted_stream_looks_complete_to_http_1_0",
 	    test_aborted_stream_looks_complete_to_http_1_0);
+	g_test_add_func("/gateway/ended_replica_looks_complete",
+	    test_ended_replica_looks_complete);
 	g_test_add_func("/gateway/smuggling", test_smuggling);
 	g_test_add_func("/gateway/odd_requests", test_odd_requests);
 	return g_test_run();
