--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -12,6 +12,7 @@
 #include "coordination/selection.h"
 #include "coordination/swap.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/replica_marks.h"
 #include "gateway/sidecar_conns.h"
 #include "state/deployment.h"
 #include "transport/http_client.h"
@@ -40,6 +41,7 @@
 	unsigned count;
 	unsigned gateways; /* that use the same replicas; at least 1 */
 	bool in_snapshot;
+	struct replica_marks *marks; /* of unlisted replicas */
 	TAILQ_HEAD(, backend) list;
 };
 
@@ -52,6 +54,9 @@
 		return NULL;
 	b->gateway = g;
 	b->gateways = 1;
+	b->marks = replica_marks_create();
+	if (b->marks == NULL)
+		abort();
 	TAILQ_INIT(&b->list);
 	return b;
 }
@@ -81,6 +86,7 @@
 		return;
 	while ((b = TAILQ_FIRST(&all->list)) != NULL)
 		backend_free(all, b);
+	replica_marks_destroy(all->marks);
 	free(all);
 }
 
@@ -157,6 +163,8 @@
 	log_info(all->gateway->process.logger, "replica gone",
 	    LF_S("replica", b->entry.id), LF_S("address", b->entry.address),
 	    LF_S("why", why), LF_I("in_flight", b->in_flight));
+	replica_marks_keep(
+	    all->marks, b, clock_now(all->gateway->process.clock));
 	b->listed = false;
 	b->expires_us = 0;
 	http_client_close_idle(b->http);
@@ -197,13 +205,15 @@
 	b->victim_idle_us = -1;
 	b->uncertain_until_us = b->listed_us + UNCERTAIN_NEW_US;
 	SLIST_INIT(&b->uses);
+	replica_marks_restore(all->marks, b, b->listed_us);
 	TAILQ_INSERT_TAIL(&all->list, b, link);
 	all->count++;
 	log_info(g->process.logger, "replica listed",
 	    LF_S("replica", entry->id), LF_S("service", entry->service),
 	    LF_S("address", entry->address), LF_S("zone", entry->zone),
 	    LF_I("slots", entry->slots),
-	    LF_I("models", entry->state.model_count));
+	    LF_I("models", entry->state.model_count),
+	    LF_I("draining", b->entry.state.draining));
 	return b;
 }
 
--- a/test/process/test_leaving.c
+++ b/test/process/test_leaving.c
@@ -16,6 +16,7 @@
 /* The pages allow 2 s; a message to another gateway takes milliseconds. */
 #define HEARD_MAX_MS 1000
 #define REQUESTS 20
+#define RELIST_MS 800 /* until gateways have read an entry */
 
 static void
 send_request(int gateway, const char *path, const char *model)
@@ -113,6 +114,45 @@
 	check_plain_service(true);
 }
 
+static bool
+all_have_unlisted(void *replica)
+{
+	const struct fleet_backend *b = replica;
+	char *text = g_strdup_printf(
+	    "\"msg\":\"replica gone\",\"replica\":\"%s\"", b->id);
+	bool all = true;
+
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		all &= proc_log_contains(&fleet.gateways[i], text);
+	g_free(text);
+	return all;
+}
+
+/* Its entry goes, and a store that goes back lists it again as ready. */
+static void
+test_leaving_is_forgotten_with_entry(void)
+{
+	struct fleet_backend *b = &fleet.services[0];
+
+	fleet_start();
+	set_faults(b->address, "{\"leaving\": true}");
+	set_faults(fleet.services[1].address, "{\"shed\": 100}");
+	reach(b, "/look/1", NULL);
+	set_faults(fleet.services[1].address, "{\"shed\": 0}");
+	await_received(b);
+	fleet_write_key("keyed.servers", b->id, NULL);
+	await_true(all_have_unlisted, b, "entry gone");
+	fleet_write_replica(b, "app", "ready", 1000);
+	sleep_ms(RELIST_MS);
+	g_assert_cmpint(send_requests(b, "/look/1", NULL), ==, 0);
+	/* Another start of it has not said that it leaves. */
+	set_faults(b->address, "{\"leaving\": false}");
+	fleet_write_replica(b, "app", "ready", 2000);
+	sleep_ms(RELIST_MS);
+	g_assert_cmpint(send_requests(b, "/look/1", NULL), >, 0);
+	fleet_stop();
+}
+
 /* A refusal says it too. */
 static void
 test_refusing_replica_gets_requests(void)
@@ -247,6 +287,8 @@
 	g_test_add_func(
 	    "/leaving/leaving_replica_gets_requests_while_store_is_silent",
 	    test_leaving_replica_gets_requests_while_store_is_silent);
+	g_test_add_func("/leaving/leaving_is_forgotten_with_entry",
+	    test_leaving_is_forgotten_with_entry);
 	g_test_add_func("/leaving/refusing_replica_gets_requests",
 	    test_refusing_replica_gets_requests);
 	g_test_add_func("/leaving/leaving_engine_gets_requests",
