gateway, transport: a sidecar that stands still no longer holds prompts

Cause: the wait for a prefill permit had no bound but the deadline. Evidence, on: /gateway/silent_sidecar_holds_prompts: (resp.code == 200): (504 == 200)

Once a prompt has waited for 0.4 s its gateway calls the sidecar's null procedure (RFC 5531, section 12.1); without an answer in 0.8 s the prompts that wait for it are sent without a permit.

--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -90,6 +90,7 @@
 	int64_t victim_report_us;
 	/* The connection to the sidecar: */
 	struct rpc_conn *conn;
+	bool checking; /* whether the sidecar answers */
 	bool connecting;
 	int64_t reconnect_us; /* earliest next attempt */
 	/* Changes of the deployment, see deployment_source.h: */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -49,6 +49,8 @@
 /* While stopping: of a route's answers, for the time that one may take. */
 #define LIKELY_QUANTILE 0.99
 #define LIKELY_MIN_COUNT 20
+/* A wait for a prefill permit after which the sidecar may stand still. */
+#define PERMIT_CHECK_US (400 * USEC_PER_MSEC)
 
 /* ---- ending an exchange ---- */
 
@@ -502,11 +504,25 @@
 	struct exchange *x, *next;
 
 	TAILQ_FOREACH_SAFE(x, &g->exchanges, link, next) {
+		if (x->prefill_conn != NULL &&
+		    now - x->permit_asked_us >= PERMIT_CHECK_US)
+			sidecar_conns_check(g->sidecar_conns, x->backend);
 		if (x->waiting && now - x->selected_us >= RESELECT_PAUSE_US)
 			exchange_dispatch(x);
 	}
 }
 
+void
+exchanges_on_silent_sidecar(struct gateway *g, const struct backend *b)
+{
+	struct exchange *x, *next;
+
+	TAILQ_FOREACH_SAFE(x, &g->exchanges, link, next) {
+		if (x->backend == b && x->prefill_conn != NULL)
+			exchange_send_unpermitted(x);
+	}
+}
+
 void
 exchanges_on_holdings(struct gateway *g, const struct backend *b)
 {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -33,6 +33,8 @@
  * replica has loaded.  Call it after each report of its holdings.
  */
 void exchanges_on_holdings(struct gateway *, const struct backend *);
+/* Sends what waits for a prefill permit of this replica's sidecar. */
+void exchanges_on_silent_sidecar(struct gateway *, const struct backend *);
 
 /* Refuses or fails every request that has no answer yet, before the exit. */
 void exchanges_answer_all(struct gateway *);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -53,6 +53,7 @@
 	struct backend *backend; /* NULL: none */
 	struct http_call *call; /* NULL: not sent yet */
 	struct rpc_conn *prefill_conn; /* has a pending TM_READ call, or NULL */
+	int64_t permit_asked_us; /* only if prefill_conn */
 	uint64_t prefill_id; /* of the permit, asked for or held; 0: none */
 	struct rpc_conn *limit_conn; /* has a pending TM_LIMIT_TAKE, or NULL */
 	struct event *limit_timer; /* until limit_at_us; NULL: never needed */
@@ -165,6 +166,8 @@
 
 /* Sends it to its replica, once the replica's limit allows it. */
 void exchange_send_now(struct exchange *);
+/* The same, without waiting for a prefill permit any longer. */
+void exchange_send_unpermitted(struct exchange *);
 
 /* ---- exchange_limit.c ---- */
 
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -245,6 +245,17 @@
 	exchange_dispatch(x);
 }
 
+void
+exchange_send_unpermitted(struct exchange *x)
+{
+	rpc_conn_drop_callbacks(x->prefill_conn, x);
+	x->prefill_conn = NULL;
+	/* The sidecar gives it up again once it goes on. */
+	sidecar_conns_prefill_done(x->backend, x->prefill_id);
+	x->prefill_id = 0;
+	exchange_send_now(x);
+}
+
 static bool
 needs_permit(const struct exchange *x)
 {
@@ -279,6 +290,7 @@
 	    g->sidecar_conns, x->backend, &args, on_prefill_reply, x);
 	if (x->prefill_conn != NULL)
 		x->prefill_id = args.id;
+	x->permit_asked_us = clock_now(g->process.clock);
 	return x->prefill_conn != NULL;
 }
 
--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -27,6 +27,8 @@
 #define MAX_RECORD_BYTES (8 * 1024 * 1024) /* a deployment and its frame */
 #define MAX_OUTPUT_BYTES (16 * 1024 * 1024)
 #define STALL_US (3 * USEC_PER_SEC) /* a sidecar that does not read */
+/* A sidecar without any answer for so long stands still. */
+#define CHECK_TIMEOUT_US (800 * USEC_PER_MSEC)
 #define PEER_TIMEOUT_US (3 * USEC_PER_SEC) /* a peer that does not answer */
 #define RECONNECT_PAUSE_US (500 * USEC_PER_MSEC)
 #define SEND_USES_PAUSE_US (500 * USEC_PER_MSEC)
@@ -520,6 +522,44 @@
 	return b->conn;
 }
 
+struct sidecar_check {
+	struct sidecar_conns *conns;
+	struct backend *backend;
+};
+
+static void
+on_checked(void *ctx, enum rpc_status status, void *reply)
+{
+	struct sidecar_check *check = ctx;
+
+	check->backend->checking = false;
+	if (status == RPC_TIMED_OUT) {
+		log_warn(check->conns->gateway->process.logger,
+		    "sidecar is silent",
+		    LF_S("replica", check->backend->entry.id));
+		exchanges_on_silent_sidecar(
+		    check->conns->gateway, check->backend);
+	}
+	free(check);
+}
+
+void
+sidecar_conns_check(struct sidecar_conns *sc, struct backend *b)
+{
+	struct sidecar_check *check;
+
+	if (b->checking || b->conn == NULL || b->connecting)
+		return;
+	check = malloc(sizeof(*check));
+	if (check == NULL)
+		abort();
+	check->conns = sc;
+	check->backend = b;
+	b->checking = true;
+	rpc_conn_call(b->conn, NULLPROC, rpc_xdr_void, NULL, rpc_xdr_void, 0,
+	    CHECK_TIMEOUT_US, on_checked, check);
+}
+
 void
 sidecar_conns_prefill_done(struct backend *b, uint64_t id)
 {
--- a/src/gateway/sidecar_conns.h
+++ b/src/gateway/sidecar_conns.h
@@ -48,6 +48,11 @@
 void sidecar_conns_request_load(struct sidecar_conns *, struct backend *,
     const struct request_params *, unsigned rank, int64_t left_us);
 
+/*
+ * Asks the replica's sidecar for a sign of life, unless that is under way;
+ * calls exchanges_on_silent_sidecar() if none comes.
+ */
+void sidecar_conns_check(struct sidecar_conns *, struct backend *);
 /*
  * Requests a prefill permit of the replica's sidecar.  Returns the connection
  * with the pending call, which done() ends with a struct tm_read_reply, or NULL
--- a/src/transport/rpc.c
+++ b/src/transport/rpc.c
@@ -72,6 +72,12 @@
 		evconnlistener_enable(rpc->listener);
 }
 
+bool_t
+rpc_xdr_void(XDR *xdrs, ...)
+{
+	return TRUE;
+}
+
 struct rpc *
 rpc_create(const struct rpc_options *opts)
 {
--- a/src/transport/rpc.h
+++ b/src/transport/rpc.h
@@ -129,6 +129,9 @@
     int64_t timeout_us, void (*done)(void *ctx, enum rpc_status, void *reply),
     void *ctx);
 
+/* Of calls without arguments or result, as those of NULLPROC. */
+bool_t rpc_xdr_void(XDR *, ...);
+
 /* Prevents done() for every pending call with this ctx. */
 void rpc_conn_drop_callbacks(struct rpc_conn *, void *ctx);
 
--- a/src/transport/rpc_serve.c
+++ b/src/transport/rpc_serve.c
@@ -89,6 +89,10 @@
 		return reject_call(conn, msg->rm_xid, PROG_UNAVAIL);
 	if (body->cb_vers != conn->rpc->opts.version)
 		return reject_call(conn, msg->rm_xid, PROG_MISMATCH);
+	/* Each program has it, without arguments and result (section 12.1). */
+	if (body->cb_proc == NULLPROC)
+		return rpc_write_reply(
+		    conn, msg->rm_xid, SUCCESS, rpc_xdr_void, NULL);
 	if (h == NULL)
 		return reject_call(conn, msg->rm_xid, PROC_UNAVAIL);
 
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -946,6 +946,30 @@
 	}
 }
 
+/* Sidecars stand still; their replicas are sound, and prompts are long. */
+static void
+test_silent_sidecar_holds_prompts(void)
+{
+	static const char *const headers[] = { "Host: h.example",
+		"Tamarackmast-Request-Id: held1", "Tamarackmast-Model: m1",
+		"Tamarackmast-Token-Count: 20000,10",
+		"Tamarackmast-Deadline-Ms: 9000", NULL };
+	struct response resp;
+
+	fleet_start();
+	for (int i = 0; i < FLEET_ENGINES; i++)
+		proc_signal(&fleet.engines[i].sidecar, SIGSTOP);
+	http_call(
+	    &resp, "GET", fleet.http_address[0], "/stream/1", headers, NULL);
+	g_assert_cmpint(resp.code, ==, 200);
+	/* The route's goal is 2 s. */
+	g_assert_cmpfloat(resp.seconds, <, 2);
+	response_clear(&resp);
+	for (int i = 0; i < FLEET_ENGINES; i++)
+		proc_signal(&fleet.engines[i].sidecar, SIGCONT);
+	fleet_stop();
+}
+
 /*
  * A connection without a complete request is closed after the sum of
  * header_timeout_ms and idle_timeout_ms, counted from its start or its last
@@ -1131,6 +1155,8 @@
 	    test_aborted_stream_looks_complete_to_http_1_0);
 	g_test_add_func("/gateway/ended_replica_looks_complete",
 	    test_ended_replica_looks_complete);
+	g_test_add_func("/gateway/silent_sidecar_holds_prompts",
+	    test_silent_sidecar_holds_prompts);
 	g_test_add_func("/gateway/smuggling", test_smuggling);
 	g_test_add_func("/gateway/odd_requests", test_odd_requests);
 	return g_test_run();
