transport, gateway: callers' bodies no longer exhaust the memory together

Many callers that upload large bodies at once could take a gateway over its memory: each connection was bounded, not their sum, and evhttp reads on without a bound while a response is pending.

Cause: limits of each connection only. What is received and not answered is now counted over all connections; beyond 32 MiB a request of more than 64 KiB that is still being read gets 503 and its connection is closed, so that it has not run.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -52,6 +52,8 @@
 #define IDLE_TIMEOUT_US (60 * USEC_PER_SEC) /* deployments set less */
 #define MAX_BODY_BYTES (8 * 1024 * 1024) /* deployments set less */
 #define MAX_HEADER_BYTES 65536 /* deployments set less */
+/* Of callers' requests that are held at once, of the VM's memory. */
+#define MAX_HELD_BYTES (32 * 1024 * 1024)
 /* Answers of replicas that are held at once, of the VM's memory. */
 #define MAX_ANSWERS_BYTES (96 * 1024 * 1024)
 #define PREFIX_MAP_SIZE 65536 /* prompt prefixes */
@@ -270,6 +272,7 @@
 		.ctx = g,
 		.max_body = MAX_BODY_BYTES,
 		.max_headers = MAX_HEADER_BYTES,
+		.max_held = MAX_HELD_BYTES,
 		.idle_timeout_us = IDLE_TIMEOUT_US,
 		.metrics = g->process.metrics,
 		.refuse = on_refuse,
--- a/src/transport/http_conns.c
+++ b/src/transport/http_conns.c
@@ -15,6 +15,8 @@
 #include "common/metrics.h"
 #include "transport/http_framing.h"
 
+/* A request of no more bytes isn't refused for what others hold. */
+#define HELD_FREE_BYTES 65536
 #define SWEEP_INTERVAL_US 250000 /* greatest delay of a time-out */
 
 struct conn {
@@ -27,6 +29,9 @@
 	size_t buffered; /* bytes that evhttp has not parsed yet */
 	struct evbuffer *input; /* a key only: it may have been freed */
 	struct http_framing *framing;
+	struct bufferevent *bev; /* valid while its input changes */
+	size_t held; /* bytes received since the last response */
+	bool refused; /* as all connections hold too much */
 	bool shut; /* its reading side, by http_conns */
 	UT_hash_handle hh;
 	UT_hash_handle hh_input;
@@ -44,7 +49,9 @@
 	struct evconnlistener *listener;
 	/* Metrics. */
 	int64_t *open_conns;
+	int64_t *held; /* bytes, of all connections */
 	uint64_t *over_limit;
+	uint64_t *refused_held;
 	uint64_t *timed_out;
 };
 
@@ -95,11 +102,43 @@
 	}
 }
 
+static void
+set_held(struct http_conns *c, struct conn *conn, size_t held)
+{
+	*c->held += (int64_t)held - (int64_t)conn->held;
+	conn->held = held;
+}
+
+/*
+ * Refuses a request that is being read.  While a response is pending, what is
+ * received waits within the limit of one connection.
+ */
+static void
+refuse_held(struct http_conns *c, struct conn *conn)
+{
+	static const char refusal[] =
+	    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+	    "Retry-After: 1\r\nContent-Length: 0\r\n\r\n";
+
+	if (c->opts.max_held == 0 || (size_t)*c->held <= c->opts.max_held ||
+	    conn->held <= HELD_FREE_BYTES || conn->in_request || conn->refused)
+		return;
+	conn->refused = true;
+	(*c->refused_held)++;
+	if (c->opts.plain)
+		(void)send(conn->fd, refusal, sizeof(refusal) - 1,
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+	/* evhttp frees the connection, but not while its input changes. */
+	bufferevent_trigger_event(conn->bev, BEV_EVENT_READING | BEV_EVENT_EOF,
+	    BEV_TRIG_DEFER_CALLBACKS);
+}
+
 /* Runs for each change of an input buffer; the connection may be removed. */
 static void
 on_input(struct evbuffer *in, const struct evbuffer_cb_info *info, void *arg)
 {
-	struct conn *conn = find_by_input(arg, in);
+	struct http_conns *c = arg;
+	struct conn *conn = find_by_input(c, in);
 
 	if (conn == NULL)
 		return;
@@ -108,6 +147,8 @@
 		return;
 	conn->received = true;
 	read_framing(conn, in, info->n_added);
+	set_held(c, conn, conn->held + info->n_added);
+	refuse_held(c, conn);
 }
 
 static void
@@ -137,6 +178,7 @@
 conn_remove(struct http_conns *c, struct conn *conn)
 {
 	unwatch_input(c, conn);
+	set_held(c, conn, 0);
 	HASH_DEL(c->conns, conn);
 	http_framing_destroy(conn->framing);
 	free(conn);
@@ -258,6 +300,7 @@
 	if (conn == NULL)
 		abort();
 	conn->fd = fd;
+	conn->bev = bev;
 	conn->framing = http_framing_create(c->opts.max_body);
 	watch_input(c, conn, bufferevent_get_input(bev));
 	(void)getpeername(fd, (struct sockaddr *)&conn->peer, &len);
@@ -326,6 +369,7 @@
 		return;
 	conn->in_request = false;
 	conn->received = conn->buffered > 0;
+	set_held(c, conn, conn->buffered);
 	event_base_gettimeofday_cached(c->opts.base, &conn->idle_since);
 }
 
@@ -381,6 +425,9 @@
 		return NULL;
 	c->opts = *opts;
 	c->open_conns = metrics_gauge(opts->metrics, "http_connections", "");
+	c->held = metrics_gauge(opts->metrics, "http_held_bytes", "");
+	c->refused_held = metrics_counter(
+	    opts->metrics, "http_refused_requests_total", "limit=\"memory\"");
 	c->over_limit = metrics_counter(
 	    opts->metrics, "http_refused_connections_total", "");
 	c->timed_out =
--- a/src/transport/http_conns.h
+++ b/src/transport/http_conns.h
@@ -32,7 +32,9 @@
 	struct metrics *metrics;
 	unsigned max; /* connections; 0: unlimited */
 	size_t max_body; /* bytes of a request */
+	size_t max_held; /* bytes received and not answered, of all; 0: any */
 	struct http_conns_timeouts timeouts;
+	bool plain; /* without TLS */
 	/* HTTP response to a connection over max; NULL: only closes it. */
 	const char *refusal;
 };
--- a/src/transport/http_octets.c
+++ b/src/transport/http_octets.c
@@ -72,9 +72,8 @@
 	struct http_octets at = *before;
 
 	for (size_t i = 0; i < len; i++) {
-		const char *why = at.in_lines || at.in_size
-				      ? byte_fault(&at, data[i])
-				      : NULL;
+		const char *why =
+		    at.in_lines || at.in_size ? byte_fault(&at, data[i]) : NULL;
 
 		if (why != NULL)
 			return why;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -169,6 +169,11 @@
 	struct bufferevent *bev =
 	    tls_bufferevent(server->opts.tls, TLS_HTTP, base, -1, false);
 
+	/* evhttp reads on while a response is pending. */
+	if (bev != NULL)
+		bufferevent_setwatermark(bev, EV_READ, 0,
+		    EVHTTP_LIMIT_FACTOR *
+			(server->opts.max_body + server->opts.max_headers));
 	http_conns_add(server->conns, bev);
 	return bev;
 }
@@ -182,7 +187,9 @@
 		.metrics = opts->metrics,
 		.max = opts->max_connections,
 		.max_body = opts->max_body,
+		.max_held = opts->max_held,
 		.timeouts = opts->timeouts,
+		.plain = opts->tls == NULL,
 		.refusal = opts->tls == NULL ? opts->connection_refusal : NULL,
 	};
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -43,6 +43,11 @@
 	void *ctx; /* of the callbacks */
 	size_t max_body; /* bytes; 0: HTTP_SERVER_MAX_BODY */
 	size_t max_headers; /* bytes; 0: HTTP_SERVER_MAX_HEADERS */
+	/*
+	 * Bytes that callers have sent and that are not answered yet, of all
+	 * connections; a large request beyond is refused with 503.  0: any.
+	 */
+	size_t max_held;
 	/* Time without a byte read or written; 0: evhttp's default. */
 	int64_t idle_timeout_us;
 	unsigned max_connections; /* 0: unlimited; further ones are refused */
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -465,8 +465,7 @@
 	    KEEP } };
 	static const struct step nothing[] = { { "", CLOSE } };
 	static const struct step no_content[] = {
-		{ "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
-		    KEEP }
+		{ "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n", KEEP }
 	};
 	static const struct step not_modified[] = {
 		{ "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
--- a/test/unit/test_http_server.c
+++ b/test/unit/test_http_server.c
@@ -2,8 +2,10 @@
  * The HTTP server against callers whose requests never end: a server without
  * limits of its own must close their connections with little in memory.
  */
+#include <errno.h>
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -127,11 +129,112 @@
 	    <, ENDLESS_BYTES);
 }
 
+#define UPLOADS 8
+#define UPLOAD_BYTES (512 * 1024) /* of a body of 1 MiB */
+#define MAX_HELD (1024 * 1024)
+#define SMALL_BYTES (64 * 1024)
+
+static void
+on_upload_request(void *ctx, struct evhttp_request *req)
+{
+	http_reply(req, 200, "text/plain", "ok", 2);
+}
+
+static int
+connect_plainly(const struct sockaddr_in *sin, const char *text)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(
+	    connect(fd, (const struct sockaddr *)sin, sizeof(*sin)), ==, 0);
+	g_assert_cmpint((int)send(fd, text, strlen(text), 0), >, 0);
+	evutil_make_socket_nonblocking(fd);
+	return fd;
+}
+
+/* Returns the status line, "" while there is none; runs the server. */
+static void
+await_status(struct event_base *base, int fd, char *status, size_t size)
+{
+	ssize_t n = -1;
+
+	for (int i = 0; i < 1000 && n <= 0; i++) {
+		event_base_loop(base, EVLOOP_NONBLOCK);
+		n = recv(fd, status, size - 1, 0);
+	}
+	status[n > 0 ? n : 0] = '\0';
+}
+
+/* Guards against bodies of many callers that exhaust the memory together. */
+static void
+test_many_uploads_exhaust_memory(void)
+{
+	static const struct http_route uploads[] = {
+		{ "/", EVHTTP_REQ_GET | EVHTTP_REQ_POST, on_upload_request },
+		{ 0 },
+	};
+	struct metrics *metrics = metrics_create();
+	struct http_server_options opts = { .base = event_base_new(),
+		.routes = uploads,
+		.refuse = on_refuse,
+		.max_body = 2 * 1024 * 1024,
+		.max_held = MAX_HELD,
+		.metrics = metrics };
+	struct http_server *server = http_server_create(&opts);
+	int64_t *held = metrics_gauge(metrics, "http_held_bytes", "");
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	static char part[4096];
+	char address[32], status[256];
+	unsigned refused = 0;
+	int fds[UPLOADS], small;
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (int port = 22000; port < 30000; port++) {
+		g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+		sin.sin_port = htons((uint16_t)port);
+		if (http_server_listen(server, address) == 0)
+			break;
+	}
+	for (int i = 0; i < UPLOADS; i++) {
+		fds[i] =
+		    connect_plainly(&sin, "POST / HTTP/1.1\r\nHost: x\r\n"
+					  "Content-Length: 1048576\r\n\r\n");
+		for (int n = 0; n < UPLOAD_BYTES / (int)sizeof(part); n++) {
+			(void)!send(fds[i], part, sizeof(part), MSG_NOSIGNAL);
+			event_base_loop(opts.base, EVLOOP_NONBLOCK);
+			/* Small requests are not refused, so that each may hold
+			 * one. */
+			g_assert_cmpint(
+			    *held, <, MAX_HELD + UPLOADS * SMALL_BYTES);
+		}
+	}
+	for (int i = 0; i < UPLOADS; i++) {
+		ssize_t n = recv(fds[i], status, sizeof(status) - 1, 0);
+
+		refused += n == 0 || (n == -1 && errno != EAGAIN) ||
+			   (n > 0 && strncmp(status, "HTTP/1.1 503", 12) == 0);
+	}
+	g_assert_cmpuint(refused, >, 0);
+	g_assert_cmpuint(refused, <, UPLOADS);
+	/* A small request is served beside them. */
+	small = connect_plainly(&sin, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	await_status(opts.base, small, status, sizeof(status));
+	g_assert_true(g_str_has_prefix(status, "HTTP/1.1 200"));
+	close(small);
+	for (int i = 0; i < UPLOADS; i++)
+		close(fds[i]);
+	http_server_destroy(server);
+	event_base_free(opts.base);
+	metrics_destroy(metrics);
+}
+
 int
 main(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN); /* as common/process.c does */
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http_server/endless_requests", test_endless_requests);
+	g_test_add_func("/http_server/many_uploads_exhaust_memory",
+	    test_many_uploads_exhaust_memory);
 	return g_test_run();
 }
