gateway: elements of Connection are separated by commas only

A header that `Connection: x X-Hop` does not list was left out of an answer, as spaces separated elements, too.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -44,13 +44,16 @@
 	size_t len = strlen(name);
 
 	while (list != NULL && *list != '\0') {
-		size_t token;
+		size_t token, end;
 
 		list += strspn(list, " \t,");
-		token = strcspn(list, " \t,");
+		token = end = strcspn(list, ",");
+		while (token > 0 &&
+		       (list[token - 1] == ' ' || list[token - 1] == '\t'))
+			token--;
 		if (token == len && strncasecmp(list, name, len) == 0)
 			return true;
-		list += token;
+		list += end;
 	}
 	return false;
 }
