gateway: a prompt that gave up its permit is not sent to a leaving replica

Found by reading the change: a prompt that no longer waits for a silent sidecar was sent to its replica even if that had begun to leave meanwhile, and a check of a sidecar could outlive the record of its replica.

Evidence, on: /gateway/silent_sidecar_hides_leaving: 'strstr(buf, " 200 ")' should be NULL

The wait's end goes one way now, and the check is detached when its replica goes. Two functions of http_framing that nothing called are gone.

--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -27,6 +27,7 @@
 struct gateway;
 struct http_client;
 struct rpc_conn;
+struct sidecar_check;
 
 /* Requests of this gateway for one model and adapter on one replica. */
 struct backend_use {
@@ -90,7 +91,7 @@
 	int64_t victim_report_us;
 	/* The connection to the sidecar: */
 	struct rpc_conn *conn;
-	bool checking; /* whether the sidecar answers */
+	struct sidecar_check *check; /* under way; NULL: none */
 	bool connecting;
 	int64_t reconnect_us; /* earliest next attempt */
 	/* Changes of the deployment, see deployment_source.h: */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -224,6 +224,18 @@
 
 /* ---- prefill permits ---- */
 
+/* The replica may have begun to leave meanwhile. */
+static void
+send_after_wait(struct exchange *x)
+{
+	if (backend_takes_work(x->backend)) {
+		exchange_send_now(x);
+		return;
+	}
+	exchange_release(x);
+	exchange_dispatch(x);
+}
+
 static void
 on_prefill_reply(void *ctx, enum rpc_status status, void *reply)
 {
@@ -240,12 +252,7 @@
 		exchange_dispatch(x);
 		return;
 	}
-	if (backend_takes_work(x->backend)) {
-		exchange_send_now(x);
-		return;
-	}
-	exchange_release(x);
-	exchange_dispatch(x);
+	send_after_wait(x);
 }
 
 void
@@ -256,7 +263,7 @@
 	/* The sidecar gives it up again once it goes on. */
 	sidecar_conns_prefill_done(x->backend, x->prefill_id);
 	x->prefill_id = 0;
-	exchange_send_now(x);
+	send_after_wait(x);
 }
 
 static bool
--- a/src/gateway/sidecar_conns.c
+++ b/src/gateway/sidecar_conns.c
@@ -369,11 +369,20 @@
 	}
 }
 
+/* Outlives its backend if that is freed before the call has ended. */
+struct sidecar_check {
+	struct sidecar_conns *conns;
+	struct backend *backend; /* NULL: gone */
+};
+
 void
 sidecar_conns_close(struct sidecar_conns *sc, struct backend *b)
 {
 	struct rpc_conn *conn = NULL;
 
+	if (b->check != NULL)
+		b->check->backend = NULL;
+	b->check = NULL;
 	if (sc == NULL)
 		return;
 	if (b->conn != NULL) {
@@ -522,23 +531,23 @@
 	return b->conn;
 }
 
-struct sidecar_check {
-	struct sidecar_conns *conns;
-	struct backend *backend;
-};
+static void
+on_silent(struct sidecar_conns *sc, struct backend *b)
+{
+	log_warn(sc->gateway->process.logger, "sidecar is silent",
+	    LF_S("replica", b->entry.id));
+	exchanges_on_silent_sidecar(sc->gateway, b);
+}
 
 static void
 on_checked(void *ctx, enum rpc_status status, void *reply)
 {
 	struct sidecar_check *check = ctx;
 
-	check->backend->checking = false;
-	if (status == RPC_TIMED_OUT) {
-		log_warn(check->conns->gateway->process.logger,
-		    "sidecar is silent",
-		    LF_S("replica", check->backend->entry.id));
-		exchanges_on_silent_sidecar(
-		    check->conns->gateway, check->backend);
+	if (check->backend != NULL) {
+		check->backend->check = NULL;
+		if (status == RPC_TIMED_OUT)
+			on_silent(check->conns, check->backend);
 	}
 	free(check);
 }
@@ -548,14 +557,14 @@
 {
 	struct sidecar_check *check;
 
-	if (b->checking || b->conn == NULL || b->connecting)
+	if (b->check != NULL || b->conn == NULL || b->connecting)
 		return;
 	check = malloc(sizeof(*check));
 	if (check == NULL)
 		abort();
 	check->conns = sc;
 	check->backend = b;
-	b->checking = true;
+	b->check = check;
 	rpc_conn_call(b->conn, NULLPROC, rpc_xdr_void, NULL, rpc_xdr_void, 0,
 	    CHECK_TIMEOUT_US, on_checked, check);
 }
--- a/src/transport/http_framing.c
+++ b/src/transport/http_framing.c
@@ -438,16 +438,3 @@
 	drop_trailer(&s, req);
 	return 0;
 }
-
-int
-http_framing_fault(const struct http_framing *f, const char **why)
-{
-	*why = f->fault;
-	return f->fault_status;
-}
-
-size_t
-http_framing_body_read(const struct http_framing *f)
-{
-	return f->octets.in_head ? 0 : f->shape.body_len;
-}
--- a/src/transport/http_framing.h
+++ b/src/transport/http_framing.h
@@ -31,10 +31,4 @@
 int http_framing_check(
     struct http_framing *, struct evhttp_request *, const char **why);
 
-/* The status and fault of a malformed request that is being read; 0: none. */
-int http_framing_fault(const struct http_framing *, const char **why);
-
-/* Bytes that have been read of the body of a request that is not complete. */
-size_t http_framing_body_read(const struct http_framing *);
-
 #endif
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -970,6 +970,42 @@
 	fleet_stop();
 }
 
+/*
+ * The replicas begin to leave while a prompt waits for a sidecar that stands
+ * still: it must not be sent there once the wait is given up.
+ */
+static void
+test_silent_sidecar_hides_leaving(void)
+{
+	static const char request[] = "GET /stream/1 HTTP/1.1\r\n"
+				      "Host: h.example\r\n"
+				      "Tamarackmast-Request-Id: hidden1\r\n"
+				      "Tamarackmast-Model: m1\r\n"
+				      "Tamarackmast-Token-Count: 20000,10\r\n"
+				      "Tamarackmast-Deadline-Ms: 3000\r\n\r\n";
+	char buf[512];
+	ssize_t n;
+	int fd;
+
+	fleet_start();
+	for (int i = 0; i < FLEET_ENGINES; i++)
+		proc_signal(&fleet.engines[i].sidecar, SIGSTOP);
+	fd = connect_gateway(0);
+	g_assert_cmpint((int)send(fd, request, sizeof(request) - 1, 0), >, 0);
+	for (int i = 0; i < FLEET_ENGINES; i++)
+		fleet_write_replica(&fleet.engines[i], "llm", "draining", 1000);
+	n = recv(fd, buf, sizeof(buf) - 1, 0);
+	g_assert_cmpint((int)n, >, 12);
+	buf[n] = '\0';
+	g_assert_null(strstr(buf, " 200 "));
+	g_assert_cmpint(
+	    fleet_sum_journals(fleet.engines, FLEET_ENGINES, "runs"), ==, 0);
+	close(fd);
+	for (int i = 0; i < FLEET_ENGINES; i++)
+		proc_signal(&fleet.engines[i].sidecar, SIGCONT);
+	fleet_stop();
+}
+
 /*
  * A connection without a complete request is closed after the sum of
  * header_timeout_ms and idle_timeout_ms, counted from its start or its last
@@ -1155,6 +1191,8 @@
 	    test_aborted_stream_looks_complete_to_http_1_0);
 	g_test_add_func("/gateway/ended_replica_looks_complete",
 	    test_ended_replica_looks_complete);
+	g_test_add_func("/gateway/silent_sidecar_hides_leaving",
+	    test_silent_sidecar_hides_leaving);
 	g_test_add_func("/gateway/silent_sidecar_holds_prompts",
 	    test_silent_sidecar_holds_prompts);
 	g_test_add_func("/gateway/smuggling", test_smuggling);
