transport: a whole request is not refused for what others hold

Evidence, on the commit before: /http_server/whole_request_is_refused fails, 'g_str_has_prefix(status, "HTTP/1.1 200")' should be TRUE

A request that the strict reading has whole is served; one that it doesn't have is never handed over, so that a refusal of it is true.

--- a/src/transport/http_conns.c
+++ b/src/transport/http_conns.c
@@ -110,8 +110,9 @@
 }
 
 /*
- * Refuses a request that is being read.  While a response is pending, what is
- * received waits within the limit of one connection.
+ * Refuses a request that is being read; one that is whole is served.  While a
+ * response is pending, what is received waits within the limit of one
+ * connection.
  */
 static void
 refuse_held(struct http_conns *c, struct conn *conn)
@@ -121,7 +122,8 @@
 	    "Retry-After: 1\r\nContent-Length: 0\r\n\r\n";
 
 	if (c->opts.max_held == 0 || (size_t)*c->held <= c->opts.max_held ||
-	    conn->held <= HELD_FREE_BYTES || conn->in_request || conn->refused)
+	    conn->held <= HELD_FREE_BYTES || conn->in_request ||
+	    conn->refused || http_framing_has_request(conn->framing))
 		return;
 	conn->refused = true;
 	(*c->refused_held)++;
--- a/src/transport/http_framing.c
+++ b/src/transport/http_framing.c
@@ -438,3 +438,9 @@
 	drop_trailer(&s, req);
 	return 0;
 }
+
+bool
+http_framing_has_request(const struct http_framing *f)
+{
+	return f->shape_count > 0;
+}
--- a/src/transport/http_framing.h
+++ b/src/transport/http_framing.h
@@ -31,4 +31,7 @@
 int http_framing_check(
     struct http_framing *, struct evhttp_request *, const char **why);
 
+/* Whether a whole request has been read that http_framing_check() awaits. */
+bool http_framing_has_request(const struct http_framing *);
+
 #endif
--- a/test/unit/test_http_server.c
+++ b/test/unit/test_http_server.c
@@ -165,6 +165,61 @@
 	status[n > 0 ? n : 0] = '\0';
 }
 
+#define WHOLE_BYTES 100000 /* of a body */
+
+/*
+ * The last bytes of a request exceed the limit: it is served, and not refused
+ * as not run as well.
+ */
+static void
+test_whole_request_is_refused(void)
+{
+	static const struct http_route uploads[] = {
+		{ "/", EVHTTP_REQ_POST, on_upload_request },
+		{ 0 },
+	};
+	char *head = g_strdup_printf("POST / HTTP/1.1\r\nHost: x\r\n"
+				     "Content-Length: %d\r\n\r\n",
+	    WHOLE_BYTES);
+	char *body = g_strnfill(WHOLE_BYTES, 'x');
+	struct metrics *metrics = metrics_create();
+	struct http_server_options opts = { .base = event_base_new(),
+		.routes = uploads,
+		.refuse = on_refuse,
+		.max_held = strlen(head) + WHOLE_BYTES - 1,
+		.metrics = metrics };
+	struct http_server *server = http_server_create(&opts);
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	char address[32], status[512];
+	ssize_t done = 0;
+	int fd;
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (int port = 23000; port < 30000; port++) {
+		g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+		sin.sin_port = htons((uint16_t)port);
+		if (http_server_listen(server, address) == 0)
+			break;
+	}
+	fd = connect_plainly(&sin, head);
+	while (done < WHOLE_BYTES) {
+		ssize_t n = send(fd, body + done, (size_t)(WHOLE_BYTES - done),
+		    MSG_NOSIGNAL);
+
+		done += n > 0 ? n : 0;
+		event_base_loop(opts.base, EVLOOP_NONBLOCK);
+	}
+	await_status(opts.base, fd, status, sizeof(status));
+	g_assert_true(g_str_has_prefix(status, "HTTP/1.1 200"));
+	g_assert_null(strstr(status, "503"));
+	close(fd);
+	http_server_destroy(server);
+	event_base_free(opts.base);
+	metrics_destroy(metrics);
+	g_free(head);
+	g_free(body);
+}
+
 /* Guards against bodies of many callers that exhaust the memory together. */
 static void
 test_many_uploads_exhaust_memory(void)
@@ -234,6 +289,8 @@
 	signal(SIGPIPE, SIG_IGN); /* as common/process.c does */
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http_server/endless_requests", test_endless_requests);
+	g_test_add_func("/http_server/whole_request_is_refused",
+	    test_whole_request_is_refused);
 	g_test_add_func("/http_server/many_uploads_exhaust_memory",
 	    test_many_uploads_exhaust_memory);
 	return g_test_run();
