--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -431,6 +431,9 @@
 		double slowdown;
 	} cases[] = {
 		{ "3,1,8", true, 0 },
+		{ "3, 1,\t8", true, 0 },
+		{ "3,-1,8", false, 0 },
+		{ "3,1", false, 0 },
 		{ "3,1,8,100", true, 1 },
 		{ "3,1,8,250", true, 2.5 },
 		{ "3,1,8,62.5", true, 0.625 },
