--- /dev/null
+++ b/review/kit-2/peer.c
@@ -0,0 +1,420 @@
+/*
+ * peer -- stand-ins for the cases of the second review: a runner, and a client.
+ *
+ *	peer runner ADDRESS ID BEHAVIOUR
+ *	peer client ADDRESS METHOD PATH SECONDS HEADER...
+ *	peer ports COUNT
+ *
+ * The client sends the text in the variable BODY, if there is one.  Each prints
+ * what it sees, one line an event, with the Unix time; "ports" prints free
+ * ports.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define HEAD_MAX 65536
+/* What a runner in trouble sends without end, a second. */
+#define ENDLESS_BYTES_PER_S (8 * 1024 * 1024)
+#define STREAM_EVENTS 13
+
+static const char *runner_id;
+static const char *behaviour;
+
+static double
+now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+static void __attribute__((format(printf, 1, 2))) note(const char *format, ...)
+{
+	char line[1024];
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(line, sizeof(line), format, args);
+	va_end(args);
+	printf("%.3f %s\n", now(), line);
+	fflush(stdout);
+}
+
+static struct sockaddr_in
+address_of(const char *text)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	char host[64];
+	const char *colon = strchr(text, ':');
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
+		exit(2);
+	snprintf(host, sizeof(host), "%.*s", (int)(colon - text), text);
+	addr.sin_port = htons((uint16_t)atoi(colon + 1));
+	if (inet_pton(AF_INET, host, &addr.sin_addr) != 1)
+		exit(2);
+	return addr;
+}
+
+static int
+send_all(int fd, const char *data, size_t len)
+{
+	while (len > 0) {
+		ssize_t n = send(fd, data, len, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return -1;
+		data += n;
+		len -= (size_t)n;
+	}
+	return 0;
+}
+
+/* ---- the runner ---- */
+
+struct request {
+	char head[HEAD_MAX];
+	char method[16];
+	char path[512];
+	char id[128];
+	char expect[128];
+	size_t body_len;
+};
+
+/* Copies the value of a header, or "". */
+static void
+find_header(const char *head, const char *name, char *out, size_t size)
+{
+	size_t len = strlen(name);
+	const char *at = head;
+
+	out[0] = '\0';
+	while ((at = strstr(at, "\r\n")) != NULL) {
+		at += 2;
+		if (strncasecmp(at, name, len) != 0 || at[len] != ':')
+			continue;
+		at += len + 1;
+		at += strspn(at, " ");
+		snprintf(out, size, "%.*s", (int)strcspn(at, "\r"), at);
+		return;
+	}
+}
+
+/* Returns -1 once the connection has ended. */
+static int
+read_request(int fd, struct request *r)
+{
+	char length[32];
+	size_t len = 0;
+
+	while (len < 4 || memcmp(r->head + len - 4, "\r\n\r\n", 4) != 0) {
+		if (len == HEAD_MAX - 1 || recv(fd, r->head + len, 1, 0) != 1)
+			return -1;
+		len++;
+	}
+	r->head[len] = '\0';
+	if (sscanf(r->head, "%15s %511s", r->method, r->path) != 2)
+		return -1;
+	find_header(r->head, "Tamarackmast-Request-Id", r->id, sizeof(r->id));
+	find_header(r->head, "Tamarackmast-Expect-Instance", r->expect,
+	    sizeof(r->expect));
+	find_header(r->head, "Content-Length", length, sizeof(length));
+	r->body_len = (size_t)atol(length);
+	for (size_t i = 0; i < r->body_len; i++) {
+		char c;
+
+		if (recv(fd, &c, 1, 0) != 1)
+			return -1;
+	}
+	return 0;
+}
+
+static int
+answer_whole(int fd, const struct request *r)
+{
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nTamarackmast-Request-Id: %s\r\n"
+	    "Tamarackmast-Response-Seal: 1.%s\r\n"
+	    "Tamarackmast-Instance-Id: %s\r\nContent-Length: 5\r\n\r\ndone\n",
+	    r->id, r->id, runner_id);
+	return send_all(fd, text, strlen(text));
+}
+
+static int
+answer_misdirected(int fd)
+{
+	char text[256];
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 421 Misdirected Request\r\n"
+	    "Tamarackmast-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	    runner_id);
+	return send_all(fd, text, strlen(text));
+}
+
+/* One model is loaded, and nothing else. */
+static int
+answer_report(int fd)
+{
+	static const char body[] =
+	    "{\"born\":1000,\"stage\":\"colocated\",\"models\":[{\"name\":"
+	    "\"m1\","
+	    "\"version\":1,\"adapters\":[]}],\"busy\":false,\"seq\":0,"
+	    "\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":240000,"
+	    "\"handles\":0,\"at_hand\":{\"in_memory\":[\"m1\"],"
+	    "\"on_disk\":[\"m1\"]}}";
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    strlen(body), body);
+	return send_all(fd, text, strlen(text));
+}
+
+static const char *
+model_of(const struct request *r)
+{
+	static __thread char model[128];
+
+	find_header(r->head, "Tamarackmast-Model", model, sizeof(model));
+	return model;
+}
+
+/* Some events, each in a chunk of its own. */
+static int
+answer_stream(int fd, const struct request *r)
+{
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nTamarackmast-Request-Id: %s\r\n"
+	    "Tamarackmast-Response-Seal: 1.%s\r\n"
+	    "Tamarackmast-Instance-Id: %s\r\n"
+	    "Content-Type: text/event-stream\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n",
+	    r->id, r->id, runner_id);
+	if (send_all(fd, text, strlen(text)) == -1)
+		return -1;
+	for (int i = 1; i <= STREAM_EVENTS; i++) {
+		char event[64];
+
+		usleep(20000);
+		snprintf(event, sizeof(event), "id: %d\ndata: x\n\n", i);
+		snprintf(
+		    text, sizeof(text), "%zx\r\n%s\r\n", strlen(event), event);
+		if (send_all(fd, text, strlen(text)) == -1)
+			return -1;
+	}
+	return send_all(fd, "0\r\n\r\n", 5);
+}
+
+/* A body that never ends, behind a sound head. */
+static int
+send_endless_body(int fd, const struct request *r)
+{
+	static const char block[65536];
+	double began = now(), sent = 0;
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nTamarackmast-Request-Id: %s\r\n"
+	    "Tamarackmast-Response-Seal: 1.%s\r\n\r\n",
+	    r->id, r->id);
+	if (send_all(fd, text, strlen(text)) == -1)
+		return -1;
+	while (send_all(fd, block, sizeof(block)) == 0) {
+		sent += (double)sizeof(block);
+		while (sent > (now() - began) * ENDLESS_BYTES_PER_S)
+			usleep(2000);
+	}
+	note("closed by the caller after %.1f s and %.1f MB", now() - began,
+	    sent / 1e6);
+	return -1;
+}
+
+/* Bytes that are no answer, without end: fields of a head that never ends. */
+static int
+send_endless_head(int fd)
+{
+	static const char start[] = "HTTP/1.1 200 OK\r\n";
+	static char block[65536];
+	double began = now(), sent = 0;
+	size_t len = 0;
+
+	while (len + 6 <= sizeof(block)) {
+		memcpy(block + len, "a: b\r\n", 6);
+		len += 6;
+	}
+	if (send_all(fd, start, strlen(start)) == -1)
+		return -1;
+	while (send_all(fd, block, len) == 0) {
+		sent += (double)len;
+		while (sent > (now() - began) * ENDLESS_BYTES_PER_S)
+			usleep(2000);
+	}
+	note("closed by the caller after %.1f s and %.1f MB", now() - began,
+	    sent / 1e6);
+	return -1;
+}
+
+static int
+answer(int fd, const struct request *r)
+{
+	if (strcmp(r->path, "/-/report") == 0)
+		return answer_report(fd);
+	if (strcmp(r->path, "/health") == 0)
+		return answer_whole(fd, r);
+	if (r->expect[0] != '\0' && strcmp(r->expect, runner_id) != 0)
+		return answer_misdirected(fd);
+	note("%s runs %s %s %s", runner_id, r->id, r->method, r->path);
+	if (strcmp(behaviour, "endless-head") == 0)
+		return send_endless_head(fd);
+	if (strcmp(behaviour, "endless-body") == 0)
+		return send_endless_body(fd, r);
+	return model_of(r)[0] != '\0' ? answer_stream(fd, r)
+				      : answer_whole(fd, r);
+}
+
+static void *
+serve(void *arg)
+{
+	struct request *r = calloc(1, sizeof(*r));
+	int fd = (int)(intptr_t)arg;
+
+	if (r == NULL)
+		exit(2);
+	while (read_request(fd, r) == 0 && answer(fd, r) == 0)
+		;
+	close(fd);
+	free(r);
+	return NULL;
+}
+
+static int
+run_runner(const char *listen_on)
+{
+	struct sockaddr_in addr = address_of(listen_on);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) == -1 ||
+	    listen(fd, 512) == -1)
+		return 2;
+	note("listens on %s", listen_on);
+	for (;;) {
+		int conn = accept(fd, NULL, NULL);
+		pthread_t thread;
+
+		if (conn == -1)
+			continue;
+		setsockopt(conn, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		if (pthread_create(
+			&thread, NULL, serve, (void *)(intptr_t)conn) != 0)
+			close(conn);
+		else
+			pthread_detach(thread);
+	}
+}
+
+/* ---- the client ---- */
+
+static int
+run_client(int argc, char **argv)
+{
+	struct sockaddr_in addr = address_of(argv[2]);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	double until = now() + atof(argv[5]);
+	const char *body = getenv("BODY");
+	char text[8192], status[128] = "no answer";
+	size_t len = 0, got = 0;
+	bool ended = false;
+
+	len += (size_t)snprintf(text, sizeof(text),
+	    "%s %s HTTP/1.1\r\nConnection: close\r\n", argv[3], argv[4]);
+	for (int i = 6; i < argc; i++)
+		len += (size_t)snprintf(
+		    text + len, sizeof(text) - len, "%s\r\n", argv[i]);
+	if (body != NULL)
+		len += (size_t)snprintf(text + len, sizeof(text) - len,
+		    "Content-Length: %zu\r\n", strlen(body));
+	len += (size_t)snprintf(
+	    text + len, sizeof(text) - len, "\r\n%s", body == NULL ? "" : body);
+	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == -1 ||
+	    send_all(fd, text, len) == -1) {
+		note("client %s: cannot connect", argv[4]);
+		return 1;
+	}
+	while (!ended && now() < until) {
+		struct pollfd p = { .fd = fd, .events = POLLIN };
+		ssize_t n;
+
+		if (poll(&p, 1, (int)((until - now()) * 1000) + 1) < 1)
+			continue;
+		n = recv(fd, text, sizeof(text) - 1, 0);
+		if (n <= 0) {
+			ended = true;
+			continue;
+		}
+		text[n] = '\0';
+		if (got == 0)
+			snprintf(status, sizeof(status), "%.*s",
+			    (int)strcspn(text, "\r\n"), text);
+		got += (size_t)n;
+	}
+	close(fd);
+	note("client %s gets: %s, %zu bytes, %s", argv[4], status, got,
+	    ended ? "ended" : "given up");
+	return strncmp(status, "HTTP/1.1 200", 12) == 0 ? 0 : 1;
+}
+
+static int
+print_ports(int count)
+{
+	for (int i = 0; i < count; i++) {
+		struct sockaddr_in addr = address_of("127.0.0.1:0");
+		socklen_t len = sizeof(addr);
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		if (bind(fd, (struct sockaddr *)&addr, len) == -1 ||
+		    getsockname(fd, (struct sockaddr *)&addr, &len) == -1)
+			return 2;
+		printf("%d\n", ntohs(addr.sin_port));
+	}
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	signal(SIGPIPE, SIG_IGN);
+	if (argc == 5 && strcmp(argv[1], "runner") == 0) {
+		runner_id = argv[3];
+		behaviour = argv[4];
+		return run_runner(argv[2]);
+	}
+	if (argc >= 6 && strcmp(argv[1], "client") == 0)
+		return run_client(argc, argv);
+	if (argc == 3 && strcmp(argv[1], "ports") == 0)
+		return print_ports(atoi(argv[2]));
+	fprintf(stderr, "usage: see the head of peer.c\n");
+	return 2;
+}
