--- a/review/kit-2/peer.c
+++ b/review/kit-2/peer.c
@@ -3,11 +3,15 @@
  *
  *	peer runner ADDRESS ID BEHAVIOUR
  *	peer client ADDRESS METHOD PATH SECONDS HEADER...
+ *	peer crowd ADDRESS COUNT SECONDS KIND
  *	peer ports COUNT
  *
- * The client sends the text in the variable BODY, if there is one.  Each prints
- * what it sees, one line an event, with the Unix time; "ports" prints free
- * ports.
+ * The client sends the text in the variable BODY, if there is one.  A crowd is
+ * that many clients at once, which nobody controls: "many-fields" sends
+ *requests inside the limits with as many fields as fit, "one-field" the same
+ *number of bytes in one field, and "unfinished" a request without its last
+ *byte.  Each prints what it sees, one line an event, with the Unix time;
+ *"ports" prints free ports.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -386,6 +390,140 @@
 	return strncmp(status, "HTTP/1.1 200", 12) == 0 ? 0 : 1;
 }
 
+/* ---- the crowd ---- */
+
+/* limits.max_header_bytes of the sites, less than what the request line takes
+ */
+#define CROWD_HEAD_BYTES 16200
+#define CROWD_BODY_BYTES 60000
+#define CROWD_PAUSE_US 500000 /* of one client, between its requests */
+
+struct crowd {
+	struct sockaddr_in addr;
+	const char *kind;
+	double until;
+	unsigned sent;
+	unsigned answered;
+	unsigned closed;
+	pthread_mutex_t lock;
+};
+
+static size_t
+write_crowd_request(const struct crowd *c, char *text, size_t size)
+{
+	bool unfinished = strcmp(c->kind, "unfinished") == 0;
+	size_t len = (size_t)snprintf(text, size,
+	    "POST /app/crowd HTTP/1.1\r\nHost: h.example\r\n"
+	    "Tamarackmast-Request-Id: crowd\r\n"
+	    "Tamarackmast-Deadline-Ms: 15000\r\nContent-Length: %d\r\n",
+	    unfinished ? CROWD_BODY_BYTES : 0);
+
+	if (strcmp(c->kind, "many-fields") == 0) {
+		while (len + 4 <= CROWD_HEAD_BYTES) {
+			memcpy(text + len, "a:\r\n", 4);
+			len += 4;
+		}
+	} else if (strcmp(c->kind, "one-field") == 0) {
+		memcpy(text + len, "a: ", 3);
+		memset(text + len + 3, 'b', CROWD_HEAD_BYTES - len - 5);
+		memcpy(text + CROWD_HEAD_BYTES - 2, "\r\n", 2);
+		len = CROWD_HEAD_BYTES;
+	}
+	memcpy(text + len, "\r\n", 2);
+	len += 2;
+	if (unfinished) {
+		memset(text + len, 'x', CROWD_BODY_BYTES - 1);
+		len += CROWD_BODY_BYTES - 1;
+	}
+	return len;
+}
+
+static void
+add_one(struct crowd *c, unsigned *counter)
+{
+	pthread_mutex_lock(&c->lock);
+	(*counter)++;
+	pthread_mutex_unlock(&c->lock);
+}
+
+/* Returns false if the other side has closed the connection. */
+static bool
+crowd_await(struct crowd *c, int fd)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+	char text[4096];
+
+	while (now() < c->until) {
+		if (poll(&p, 1, 100) < 1)
+			continue;
+		if (recv(fd, text, sizeof(text), 0) <= 0)
+			return false;
+		add_one(c, &c->answered);
+		return true;
+	}
+	return true;
+}
+
+static void *
+crowd_client(void *arg)
+{
+	static const struct timeval timeout = { 1, 0 };
+	struct crowd *c = arg;
+	char *text = malloc(CROWD_HEAD_BYTES + CROWD_BODY_BYTES);
+	size_t len =
+	    write_crowd_request(c, text, CROWD_HEAD_BYTES + CROWD_BODY_BYTES);
+	int fd = -1;
+
+	while (now() < c->until) {
+		if (fd == -1) {
+			fd = socket(AF_INET, SOCK_STREAM, 0);
+			setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout,
+			    sizeof(timeout));
+			if (connect(fd, (struct sockaddr *)&c->addr,
+				sizeof(c->addr)) == -1)
+				usleep(CROWD_PAUSE_US);
+		}
+		if (send_all(fd, text, len) == 0)
+			add_one(c, &c->sent);
+		if (!crowd_await(c, fd)) {
+			add_one(c, &c->closed);
+			close(fd);
+			fd = -1;
+		}
+		usleep(CROWD_PAUSE_US);
+	}
+	free(text);
+	return NULL;
+}
+
+static int
+run_crowd(char **argv)
+{
+	static struct crowd c = { .lock = PTHREAD_MUTEX_INITIALIZER };
+	int count = atoi(argv[3]);
+	pthread_attr_t attr;
+
+	c.addr = address_of(argv[2]);
+	c.until = now() + atof(argv[4]);
+	c.kind = argv[5];
+	pthread_attr_init(&attr);
+	pthread_attr_setstacksize(&attr, 65536);
+	for (int i = 0; i < count; i++) {
+		pthread_t thread;
+
+		if (pthread_create(&thread, &attr, crowd_client, &c) != 0)
+			return 2;
+		pthread_detach(thread);
+	}
+	while (now() < c.until + 0.2)
+		usleep(100000);
+	pthread_mutex_lock(&c.lock);
+	note("crowd of %d, %s: %u requests sent, %u answers, %u connections "
+	     "closed",
+	    count, c.kind, c.sent, c.answered, c.closed);
+	return 0;
+}
+
 static int
 print_ports(int count)
 {
@@ -413,6 +551,8 @@
 	}
 	if (argc >= 6 && strcmp(argv[1], "client") == 0)
 		return run_client(argc, argv);
+	if (argc == 6 && strcmp(argv[1], "crowd") == 0)
+		return run_crowd(argv);
 	if (argc == 3 && strcmp(argv[1], "ports") == 0)
 		return print_ports(atoi(argv[2]));
 	fprintf(stderr, "usage: see the head of peer.c\n");
