--- a/review/kit-2/peer.c
+++ b/review/kit-2/peer.c
@@ -6,12 +6,12 @@
  *	peer crowd ADDRESS COUNT SECONDS KIND
  *	peer ports COUNT
  *
- * The client sends the text in the variable BODY, if there is one.  A crowd is
- * that many clients at once, which nobody controls: "many-fields" sends
- *requests inside the limits with as many fields as fit, "one-field" the same
- *number of bytes in one field, and "unfinished" a request without its last
- *byte.  Each prints what it sees, one line an event, with the Unix time;
- *"ports" prints free ports.
+ * The client sends the text in the variable BODY, if there is one; a runner
+ *takes WORK_MS for each request of a plain service.  A crowd is that many
+ *clients at once, which nobody controls: "many-fields" sends requests inside
+ *the limits with as many fields as fit, "one-field" the same number of bytes in
+ *one field, and "unfinished" a request without its last byte.  Each prints what
+ *it sees, one line an event, with the Unix time; "ports" prints free ports.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -37,6 +37,7 @@
 #define STREAM_EVENTS 13
 
 static const char *runner_id;
+static useconds_t work_us; /* of a request of a plain service */
 static const char *behaviour;
 
 static double
@@ -159,6 +160,7 @@
 	    "Tamarackmast-Response-Seal: 1.%s\r\n"
 	    "Tamarackmast-Instance-Id: %s\r\nContent-Length: 5\r\n\r\ndone\n",
 	    r->id, r->id, runner_id);
+	usleep(work_us);
 	return send_all(fd, text, strlen(text));
 }
 
@@ -545,6 +547,8 @@
 {
 	signal(SIGPIPE, SIG_IGN);
 	if (argc == 5 && strcmp(argv[1], "runner") == 0) {
+		if (getenv("WORK_MS") != NULL)
+			work_us = (useconds_t)atoi(getenv("WORK_MS")) * 1000;
 		runner_id = argv[3];
 		behaviour = argv[4];
 		return run_runner(argv[2]);
