review: case 9, one tenant's deadly request is taken for another tenant's

Tried: a look-up of one tenant that ends each runner, beside another tenant's look-up of the same path.

--- a/review/kit-2/lib.sh
+++ b/review/kit-2/lib.sh
@@ -2,7 +2,7 @@
 # folder, and sources this file.
 ROOT=$(cd "$CASE/../.." && pwd)
 TROUBLE=${TROUBLE:-1}
-PEER=$ROOT/build/review-2/peer
+PEER=${PEER:-$ROOT/build/review-2/peer}
 STANDIN=$ROOT/build/tamarackmast-standin
 PROGRAM=$ROOT/target/tamarackmast
 RECORD=$CASE/record.txt
@@ -15,7 +15,7 @@
 }
 
 finish() {
-	for pid in ${PIDS[@]+"${PIDS[@]}"}; do
+	for pid in ${PIDS[@]+"${PIDS[@]}"} $(cat "$DIR"/*.pid 2>/dev/null); do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
--- a/review/kit-2/peer.c
+++ b/review/kit-2/peer.c
@@ -35,6 +35,7 @@
 /* What a runner in trouble sends without end, a second. */
 #define ENDLESS_BYTES_PER_S (8 * 1024 * 1024)
 #define STREAM_EVENTS 13
+#define UNFRAMED_BYTES 800
 
 static const char *runner_id;
 static useconds_t work_us; /* of a request of a plain service */
@@ -164,6 +165,31 @@
 	return send_all(fd, text, strlen(text));
 }
 
+/*
+ * An answer with neither a length nor chunks, which ends with its connection.
+ * Its second half comes when the work is done.
+ */
+static int
+answer_unframed(int fd, const struct request *r)
+{
+	char text[1024], half[UNFRAMED_BYTES / 2];
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nTamarackmast-Request-Id: %s\r\n"
+	    "Tamarackmast-Response-Seal: 1.%s\r\n"
+	    "Tamarackmast-Instance-Id: %s\r\nConnection: close\r\n\r\n",
+	    r->id, r->id, runner_id);
+	memset(half, 'x', sizeof(half));
+	if (send_all(fd, text, strlen(text)) == -1 ||
+	    send_all(fd, half, sizeof(half)) == -1)
+		return -1;
+	usleep(work_us);
+	if (send_all(fd, half, sizeof(half)) == 0)
+		note("%s has answered %s with %d bytes", runner_id, r->id,
+		    UNFRAMED_BYTES);
+	return -1;
+}
+
 static int
 answer_misdirected(int fd)
 {
@@ -282,6 +308,16 @@
 	return -1;
 }
 
+/* The request of one tenant, whose path others ask for too. */
+static bool
+is_deadly(const struct request *r)
+{
+	char tenant[128];
+
+	find_header(r->head, "Tamarackmast-Tenant", tenant, sizeof(tenant));
+	return strcmp(tenant, "oujda") == 0;
+}
+
 static int
 answer(int fd, const struct request *r)
 {
@@ -292,8 +328,14 @@
 	if (r->expect[0] != '\0' && strcmp(r->expect, runner_id) != 0)
 		return answer_misdirected(fd);
 	note("%s runs %s %s %s", runner_id, r->id, r->method, r->path);
+	if (strcmp(behaviour, "deadly") == 0 && is_deadly(r)) {
+		note("%s ends by %s", runner_id, r->id);
+		_exit(0);
+	}
 	if (strcmp(behaviour, "endless-head") == 0)
 		return send_endless_head(fd);
+	if (strcmp(behaviour, "unframed") == 0)
+		return answer_unframed(fd, r);
 	if (strcmp(behaviour, "endless-body") == 0)
 		return send_endless_body(fd, r);
 	return model_of(r)[0] != '\0' ? answer_stream(fd, r)
@@ -351,7 +393,7 @@
 	double until = now() + atof(argv[5]);
 	const char *body = getenv("BODY");
 	char text[8192], status[128] = "no answer";
-	size_t len = 0, got = 0;
+	size_t len = 0, got = 0, head = 0;
 	bool ended = false;
 
 	len += (size_t)snprintf(text, sizeof(text),
@@ -381,14 +423,18 @@
 			continue;
 		}
 		text[n] = '\0';
-		if (got == 0)
+		if (got == 0) {
+			const char *end = strstr(text, "\r\n\r\n");
+
 			snprintf(status, sizeof(status), "%.*s",
 			    (int)strcspn(text, "\r\n"), text);
+			head = end == NULL ? 0 : (size_t)(end + 4 - text);
+		}
 		got += (size_t)n;
 	}
 	close(fd);
-	note("client %s gets: %s, %zu bytes, %s", argv[4], status, got,
-	    ended ? "ended" : "given up");
+	note("client %s gets: %s, a body of %zu bytes, %s", argv[4], status,
+	    got - head, ended ? "ended" : "given up");
 	return strncmp(status, "HTTP/1.1 200", 12) == 0 ? 0 : 1;
 }
 
