--- a/review/kit-2/peer.c
+++ b/review/kit-2/peer.c
@@ -4,6 +4,7 @@
  *	peer runner ADDRESS ID BEHAVIOUR
  *	peer client ADDRESS METHOD PATH SECONDS HEADER...
  *	peer crowd ADDRESS COUNT SECONDS KIND
+ *	peer streams ADDRESS COUNT SECONDS LEAVE BYTES
  *	peer ports COUNT
  *
  * The client sends the text in the variable BODY, if there is one; a runner
@@ -142,11 +143,14 @@
 	    sizeof(r->expect));
 	find_header(r->head, "Content-Length", length, sizeof(length));
 	r->body_len = (size_t)atol(length);
-	for (size_t i = 0; i < r->body_len; i++) {
-		char c;
+	for (size_t left = r->body_len; left > 0;) {
+		char block[16384];
+		ssize_t n = recv(
+		    fd, block, left < sizeof(block) ? left : sizeof(block), 0);
 
-		if (recv(fd, &c, 1, 0) != 1)
+		if (n <= 0)
 			return -1;
+		left -= (size_t)n;
 	}
 	return 0;
 }
@@ -438,6 +442,125 @@
 	return strncmp(status, "HTTP/1.1 200", 12) == 0 ? 0 : 1;
 }
 
+/* ---- clients of streams ---- */
+
+#define STREAM_PAUSE_US 700000 /* of one client, between its requests */
+
+struct streams {
+	struct sockaddr_in addr;
+	double until;
+	int leave; /* of ten streams, after their first event */
+	size_t bytes; /* of a request's body */
+	unsigned begun;
+	unsigned left;
+	unsigned whole;
+	unsigned failed;
+	pthread_mutex_t lock;
+};
+
+/* Reads until the text has come.  Returns false if it does not. */
+static bool
+read_until(
+    const struct streams *s, int fd, char *text, size_t size, const char *end)
+{
+	size_t len = 0;
+
+	while (now() < s->until && len < size - 1) {
+		struct pollfd p = { .fd = fd, .events = POLLIN };
+		ssize_t n;
+
+		if (poll(&p, 1, 100) < 1)
+			continue;
+		n = recv(fd, text + len, size - 1 - len, 0);
+		if (n <= 0)
+			return false;
+		len += (size_t)n;
+		text[len] = '\0';
+		if (strstr(text, end) != NULL)
+			return true;
+	}
+	return false;
+}
+
+/* Returns the counter of what came of it. */
+static unsigned *
+run_stream(struct streams *s, const char *request, size_t len, bool leaves)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	unsigned *outcome = &s->failed;
+	char text[16384];
+
+	if (connect(fd, (struct sockaddr *)&s->addr, sizeof(s->addr)) == 0 &&
+	    send_all(fd, request, len) == 0 &&
+	    read_until(
+		s, fd, text, sizeof(text), leaves ? "id: 1\n" : "0\r\n\r\n") &&
+	    strncmp(text, "HTTP/1.1 200", 12) == 0)
+		outcome = leaves ? &s->left : &s->whole;
+	close(fd);
+	return outcome;
+}
+
+static void *
+stream_client(void *arg)
+{
+	struct streams *s = arg;
+	char *request = malloc(1024 + s->bytes);
+	unsigned n;
+
+	while (now() < s->until) {
+		size_t len;
+		unsigned *outcome;
+
+		pthread_mutex_lock(&s->lock);
+		n = s->begun++;
+		pthread_mutex_unlock(&s->lock);
+		len = (size_t)snprintf(request, 1024,
+		    "POST /skade/%u HTTP/1.1\r\nHost: h.example\r\n"
+		    "Tamarackmast-Request-Id: s%d-%u\r\n"
+		    "Tamarackmast-Model: m1\r\n"
+		    "Tamarackmast-Token-Count: 600,13\r\n"
+		    "Tamarackmast-Prompt-Prefix: 5c1e07a2:400,91b%x:200\r\n"
+		    "Tamarackmast-Deadline-Ms: 15000\r\n"
+		    "Content-Length: %zu\r\n\r\n",
+		    n, (int)getpid(), n, n, s->bytes);
+		memset(request + len, 'x', s->bytes);
+		outcome = run_stream(
+		    s, request, len + s->bytes, (int)(n * 7 % 10) < s->leave);
+		pthread_mutex_lock(&s->lock);
+		(*outcome)++;
+		pthread_mutex_unlock(&s->lock);
+		usleep(STREAM_PAUSE_US);
+	}
+	free(request);
+	return NULL;
+}
+
+static int
+run_streams(char **argv)
+{
+	static struct streams s = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+	s.addr = address_of(argv[2]);
+	s.until = now() + atof(argv[4]);
+	s.leave = atoi(argv[5]);
+	s.bytes = (size_t)atol(argv[6]);
+	for (int i = 0; i < atoi(argv[3]); i++) {
+		pthread_t thread;
+
+		if (pthread_create(&thread, NULL, stream_client, &s) != 0)
+			return 2;
+		pthread_detach(thread);
+	}
+	while (now() < s.until + 0.3) {
+		usleep(1000000);
+		pthread_mutex_lock(&s.lock);
+		note("streams: %u whole, %u left by their clients, %u failed",
+		    s.whole, s.left, s.failed);
+		pthread_mutex_unlock(&s.lock);
+	}
+	return 0;
+}
+
 /* ---- the crowd ---- */
 
 /* limits.max_header_bytes of the sites, less than what the request line takes
@@ -603,6 +726,8 @@
 		return run_client(argc, argv);
 	if (argc == 6 && strcmp(argv[1], "crowd") == 0)
 		return run_crowd(argv);
+	if (argc == 7 && strcmp(argv[1], "streams") == 0)
+		return run_streams(argv);
 	if (argc == 3 && strcmp(argv[1], "ports") == 0)
 		return print_ports(atoi(argv[2]));
 	fprintf(stderr, "usage: see the head of peer.c\n");
