--- a/review/kit-2/peer.c
+++ b/review/kit-2/peer.c
@@ -444,7 +444,7 @@
 
 /* ---- clients of streams ---- */
 
-#define STREAM_PAUSE_US 700000 /* of one client, between its requests */
+#define STREAM_PAUSE_US 500000 /* of one client, between its requests */
 
 struct streams {
 	struct sockaddr_in addr;
