--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
+# Writes what was sent, answered and run to record.txt beside it.
 # Case 8: an engine in trouble writes a head without end.  See claim.txt.
 CASE=$(cd "$(dirname "$0")" && pwd)
 source "$CASE/../kit-2/lib.sh"
