test: accounts are in force before a key is sent

Without accounts a key is an ordinary header and is forwarded (test_without_accounts). So the poll raced with the configuration; the product did what the page says.

The start now waits until requests without a key get 401 from each gateway, and only then sends keys.

--- a/test/process/test_accounts.c
+++ b/test/process/test_accounts.c
@@ -104,12 +104,25 @@
 	return refused;
 }
 
+/* Sends no key: until accounts are declared, backend servers would get it. */
+static bool
+needs_key(void *unused)
+{
+	bool refused = true;
+
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		refused &= code_of(i, "/look/1", (const char *[]){ NULL }) ==
+			   401;
+	return refused;
+}
+
 static void
 start(const char *accounts)
 {
 	fleet_start();
 	fleet.accounts = accounts;
 	fleet_configure(OPEN_ROUTE);
+	await_true(needs_key, NULL, "accounts in force");
 	await_true(key_works, (void *)KEY, "key in force");
 }
 
