test: any of the callers over the limit is refused

Now 8 more than the limit connect, and at least 8 must be refused with the same text; each connection that ends must have that text.

--- a/test/process/test_http_limits.c
+++ b/test/process/test_http_limits.c
@@ -18,6 +18,7 @@
 
 #define IDLE_CALLERS 1000
 #define MAX_CONNECTIONS 1050
+#define EXTRA_CALLERS 8
 #define ENTRY_SETTINGS                                                         \
 	"[http]\nmax_connections = 1050\nmax_headers = 4096\n"                 \
 	"max_body = 65536\nfirst_request_ms = 15000\n"
@@ -83,34 +84,66 @@
 	       *(const int *)ctx;
 }
 
+static int callers[MAX_CONNECTIONS + EXTRA_CALLERS];
+
+/* Reads the refusals that have come so far, which are closed behind them. */
+static unsigned
+count_refused(void)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+		char byte, *text;
+
+		if (callers[i] == -1 ||
+		    recv(callers[i], &byte, 1, MSG_PEEK | MSG_DONTWAIT) == -1)
+			continue;
+		text = read_all(callers[i]);
+		g_assert_true(g_str_has_prefix(text, "HTTP/1.1 503 "));
+		g_assert_nonnull(strstr(text, "TOO_MANY_CONNECTIONS"));
+		g_assert_nonnull(strstr(text, "not_run"));
+		g_free(text);
+		close(callers[i]);
+		callers[i] = -1;
+		count++;
+	}
+	return count;
+}
+
+/*
+ * Which callers are refused is open: one that has just left counts until the
+ * entry reads the end of its connection.
+ */
+static bool
+extra_callers_are_refused(void *refused)
+{
+	*(unsigned *)refused += count_refused();
+	return *(unsigned *)refused >= EXTRA_CALLERS;
+}
+
 static void
 test_idle_callers(void)
 {
 	const char *http = cluster->entries[0].http;
-	int fds[MAX_CONNECTIONS], expected = IDLE_CALLERS, few = 20;
-	char *text;
-	int extra;
+	int expected = IDLE_CALLERS, few = 20;
+	unsigned refused = 0;
 
 	for (int i = 0; i < IDLE_CALLERS; i++)
-		fds[i] = connect_to(http);
+		callers[i] = connect_to(http);
 	await_true(connections_at_least, &expected, "idle callers counted");
 	assert_serves();
 
-	for (int i = IDLE_CALLERS; i < MAX_CONNECTIONS; i++)
-		fds[i] = connect_to(http);
-	extra = connect_to(http);
-	text = read_all(extra);
-	g_assert_true(g_str_has_prefix(text, "HTTP/1.1 503 "));
-	g_assert_nonnull(strstr(text, "TOO_MANY_CONNECTIONS"));
-	g_assert_nonnull(strstr(text, "not_run"));
-	g_free(text);
-	close(extra);
+	for (size_t i = IDLE_CALLERS; i < G_N_ELEMENTS(callers); i++)
+		callers[i] = connect_to(http);
+	await_true(extra_callers_are_refused, &refused, "refusals");
 
-	for (int i = 0; i < MAX_CONNECTIONS; i++)
-		close(fds[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+		if (callers[i] != -1)
+			close(callers[i]);
+	}
 	await_true(connections_at_most, &few, "closed connections uncounted");
-	g_assert_cmpint(
-	    read_metric(http, "http_refused_connections_total"), >=, 1);
+	g_assert_cmpint(read_metric(http, "http_refused_connections_total"), >=,
+	    EXTRA_CALLERS);
 	assert_serves();
 }
 
