transport, gateway: one limit for all lines of an answer

Where it isn't killed, the caller waits until its deadline.

Cause: the client had no limit of its own for what is no body. It relied on http_parser's, a variable of the process that the reader of callers' requests (http_framing_create) lifts. So each daemon that serves HTTP reads answers without a limit. The tests of endless heads passed as their process serves no HTTP.

Change: one sum a call for everything that is no body, 64 KiB and 16 bytes for each byte of body; 1 MiB of memory a head, counted by fields; heads count toward the limit of all answers, and each client has such a limit. The call then fails at once as over a limit of this side: repeated where the route allows it, else 502, and never taken for a request that crashes replicas. Heads are moved from connection to exchange in place of four copies, and freed once written. Trailers are dropped. What passed a limit of this side by one long field or many interim answers is now said to be so, too.

Why it works: the limit is on the sum of what isn't body, whatever its shape, and is checked for each read of at most 16 KiB.

Logs: `why` in "answer lost"; metrics gateway_answers_over_limit_total and gateway_answers_held_bytes.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -70,7 +70,7 @@
 	event_free(x->silence_timer);
 	if (x->limit_timer != NULL)
 		event_free(x->limit_timer);
-	evhttp_clear_headers(&x->headers);
+	exchange_clear_headers(x);
 	deployment_unref(x->deployment);
 	free(x);
 }
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -23,6 +23,8 @@
 #include "protocol/caller.h"
 #include "protocol/event_stream.h"
 #include "state/deployment.h"
+#include "transport/http_client.h"
+#include "transport/http_fields.h"
 
 #define HTTP_MISDIRECTED 421 /* RFC 9110, section 15.5.20 */
 /* Gateways return to a replica at different times after its pause. */
@@ -32,6 +34,13 @@
 #define CHECKS_MAX 2 /* connections that are tried */
 #define AVG_ANSWER_WEIGHT 0.1 /* of the newest answer in avg_answer_us */
 
+void
+exchange_clear_headers(struct exchange *x)
+{
+	evhttp_clear_headers(&x->headers);
+	http_quota_update(&x->gateway->answer_quota, &x->headers_held, 0);
+}
+
 /* ---- retries ---- */
 
 /* Withdraws a retry from the budget if attempts and time are left. */
@@ -62,6 +71,7 @@
 	    LF_S("request", x->params.id), LF_S("why", why),
 	    LF_I("attempts", x->attempts), LF_I("begun", x->response_begun),
 	    LF_I("left_us", exchange_left_us(x)));
+	exchange_clear_headers(x);
 	exchange_dispatch(x);
 }
 
@@ -122,6 +132,15 @@
 
 /* ---- the answer ---- */
 
+static void
+take_headers(struct exchange *x, struct evkeyvalq *headers)
+{
+	exchange_clear_headers(x);
+	TAILQ_CONCAT(&x->headers, headers, next);
+	http_quota_update(&x->gateway->answer_quota, &x->headers_held,
+	    http_fields_memory(&x->headers));
+}
+
 static void
 pass_headers(struct exchange *x)
 {
@@ -131,6 +150,7 @@
 		if (!exchange_is_connection_header(h->key, &x->headers))
 			caller_add_header(x->caller, h->key, h->value);
 	}
+	exchange_clear_headers(x);
 	if (x->gateway->stop_us != 0)
 		caller_add_header(x->caller, "Connection", "close");
 }
@@ -201,7 +221,6 @@
 {
 	struct exchange *x = ctx;
 	struct answer_meta meta;
-	struct evkeyval *h;
 
 	x->gateway->driver->decode_answer(headers, code, &meta);
 	if (meta.request[0] != '\0' &&
@@ -223,11 +242,8 @@
 	x->meta = meta;
 	x->relaying = x->route->kind == ROUTE_STREAM && code >= 200 &&
 		      code < 300 && meta.sealed && is_event_stream(headers);
-	if (x->response_begun)
-		return HTTP_RESPONSE_ACCEPT; /* the caller has headers */
-	evhttp_clear_headers(&x->headers);
-	TAILQ_FOREACH(h, headers, next)
-		evhttp_add_header(&x->headers, h->key, h->value);
+	if (!x->response_begun) /* else the caller has headers */
+		take_headers(x, headers);
 	return HTTP_RESPONSE_ACCEPT;
 }
 
@@ -245,7 +261,7 @@
 
 /* The parts show what requests that were lost with their replicas share. */
 static void
-log_lost(const struct exchange *x)
+log_lost(const struct exchange *x, const char *why)
 {
 	char parts[FLEET_PROMPT_PARTS_MAX * 17 + 1] = "", whole[17];
 	size_t len = 0;
@@ -255,7 +271,7 @@
 		    "%s%" PRIx64, i == 0 ? "" : ",", x->params.parts[i].id);
 	snprintf(whole, sizeof(whole), "%" PRIx64, x->params.whole);
 	log_info(x->gateway->process.logger, "answer lost",
-	    LF_S("request", x->params.id),
+	    LF_S("request", x->params.id), LF_S("why", why),
 	    LF_S("replica", x->backend->entry.id), LF_S("parts", parts),
 	    LF_S("whole", whole), LF_S("adapter", x->params.adapter),
 	    LF_I("code", x->code), LF_I("has_event", x->has_event),
@@ -274,9 +290,11 @@
 	bool begun = x->relaying ? x->has_event : x->code != 0;
 
 	exchange_identify(x);
-	log_lost(x);
+	log_lost(x, why);
 	exchange_note_outcome(x, OUTLIER_FAILED);
-	if (!own_limit)
+	if (own_limit)
+		(*x->gateway->counters.over_limit)++;
+	else
 		crash_guard_lost(
 		    x->gateway->crash_guard, &x->params, x->backend, begun);
 	exchange_release(x);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -84,6 +84,7 @@
 	bool has_event; /* it has a complete event */
 	size_t since_event; /* bytes passed on since its last event */
 	struct evkeyvalq headers; /* of the answer that the caller gets */
+	size_t headers_held; /* memory of them, counted in answer_quota */
 	struct answer_meta meta;
 
 	unsigned attempts; /* times sent, without failed connections */
@@ -225,6 +226,9 @@
 
 /* ---- exchange_answer.c ---- */
 
+/* Frees the headers of the answer. */
+void exchange_clear_headers(struct exchange *);
+
 /* Callbacks of the call, and of the silence timer. */
 enum http_response_verdict exchange_on_headers(
     void *exchange, int code, struct evkeyvalq *headers);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -249,6 +249,7 @@
 {
 	const struct gateway *g = ctx;
 
+	*g->counters.answers_held = (int64_t)g->answer_quota.used;
 	http_reply_metrics(req, g->process.metrics);
 }
 
@@ -523,6 +524,10 @@
 	    metrics_counter(m, "gateway_callers_left_total", "");
 	g->counters.retried = metrics_counter(m, "gateway_resent_total", "");
 	g->counters.resumed = metrics_counter(m, "gateway_resumed_total", "");
+	g->counters.over_limit =
+	    metrics_counter(m, "gateway_answers_over_limit_total", "");
+	g->counters.answers_held =
+	    metrics_gauge(m, "gateway_answers_held_bytes", "");
 }
 
 static int
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -63,6 +63,8 @@
 	uint64_t *disconnected;
 	uint64_t *retried;
 	uint64_t *resumed;
+	uint64_t *over_limit;
+	int64_t *answers_held;
 };
 
 TAILQ_HEAD(exchange_list, exchange);
--- a/src/protocol/caller.c
+++ b/src/protocol/caller.c
@@ -17,6 +17,7 @@
 
 #include "protocol/problem.h"
 #include "transport/http_client.h"
+#include "transport/http_fields.h"
 #include "transport/http_server.h"
 #include "transport/socket.h"
 #include "transport/tls.h"
@@ -205,8 +206,10 @@
 {
 	struct evhttp_request *req = finish_exchange(c);
 
-	if (req != NULL)
-		http_reply_buffer(req, code, body);
+	if (req == NULL)
+		return;
+	http_reply_buffer(req, code, body);
+	http_fields_drop_sent(req);
 }
 
 void
@@ -258,6 +261,7 @@
 	if (content_type != NULL)
 		caller_add_header(c, "Content-Type", content_type);
 	evhttp_send_reply_start(c->req, code, NULL);
+	http_fields_drop_sent(c->req);
 }
 
 bool
--- a/src/standin/standin.c
+++ b/src/standin/standin.c
@@ -1,9 +1,11 @@
 #include "standin/standin.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
+#include <bsd/string.h>
 #include <bsd/sys/queue.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -15,6 +17,8 @@
 #include "transport/tls.h"
 
 #define MAX_BODY (64 * 1024 * 1024)
+#define RAW_BLOCK 16384 /* bytes of raw_endless written at once */
+#define RAW_BLOCKS 8 /* before other requests get their turn */
 
 /* A request that is held by `delay_ms` or `freeze`. */
 struct held_request {
@@ -24,6 +28,14 @@
 	TAILQ_ENTRY(held_request) link;
 };
 
+/* An answer by `raw` that goes on. */
+struct raw_answer {
+	struct evhttp_request *req;
+	struct evbuffer *unsent;
+	struct event *timer;
+	char text[64];
+};
+
 struct standin {
 	struct standin_options opts;
 	struct evhttp *evhttp;
@@ -152,6 +164,72 @@
 	}
 }
 
+static void
+raw_answer_free(struct raw_answer *a)
+{
+	event_free(a->timer);
+	evbuffer_free(a->unsent);
+	free(a);
+}
+
+static void
+on_raw_closed(struct evhttp_connection *evcon, void *arg)
+{
+	raw_answer_free(arg);
+}
+
+static void
+end_raw(struct raw_answer *a)
+{
+	struct evhttp_request *req = a->req;
+
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(req), NULL, NULL);
+	raw_answer_free(a);
+	standin_drop(req);
+}
+
+static void
+on_raw_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct raw_answer *a = arg;
+	struct timeval tv = { 0, 1000 };
+	int out = bufferevent_getfd(evhttp_connection_get_bufferevent(
+	    evhttp_request_get_connection(a->req)));
+
+	for (int i = 0; i < RAW_BLOCKS; i++) {
+		while (a->text[0] != '\0' &&
+		       evbuffer_get_length(a->unsent) < RAW_BLOCK)
+			evbuffer_add(a->unsent, a->text, strlen(a->text));
+		if (evbuffer_get_length(a->unsent) == 0 ||
+		    evbuffer_write(a->unsent, out) != -1)
+			continue;
+		if (errno != EAGAIN) {
+			end_raw(a);
+			return;
+		}
+		break;
+	}
+	evtimer_add(a->timer, &tv);
+}
+
+static void
+answer_raw(struct standin *s, struct evhttp_request *req)
+{
+	struct raw_answer *a = calloc(1, sizeof(*a));
+
+	if (a == NULL)
+		abort();
+	a->req = req;
+	a->unsent = evbuffer_new();
+	a->timer = evtimer_new(s->opts.base, on_raw_timer, a);
+	strlcpy(a->text, s->faults.raw_endless, sizeof(a->text));
+	evbuffer_add(a->unsent, s->faults.raw, strlen(s->faults.raw));
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(req), on_raw_closed, a);
+	on_raw_timer(-1, 0, a);
+}
+
 static int
 set_common_fault(struct standin *s, const char *name, const json_t *value)
 {
@@ -163,6 +241,12 @@
 		s->faults.lose_answers = json_integer_value(value);
 	else if (strcmp(name, "freeze") == 0)
 		s->faults.freeze = json_is_true(value);
+	else if (strcmp(name, "raw") == 0)
+		strlcpy(s->faults.raw, json_string_value(value),
+		    sizeof(s->faults.raw));
+	else if (strcmp(name, "raw_endless") == 0)
+		strlcpy(s->faults.raw_endless, json_string_value(value),
+		    sizeof(s->faults.raw_endless));
 	else
 		return -1;
 	return 0;
@@ -223,6 +307,11 @@
 		standin_drop(req);
 		return;
 	}
+	if (s->faults.raw[0] != '\0' &&
+	    strcmp(evhttp_request_get_uri(req), "/journal") != 0) {
+		answer_raw(s, req);
+		return;
+	}
 	if (s->faults.freeze) {
 		held = hold_request(s, req);
 		TAILQ_INSERT_TAIL(&s->frozen, held, link);
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -11,6 +11,9 @@
  *	lose_answers	handle the request, then close the connection without
  *			an answer; for so many requests, or -1 for all
  *	freeze		hold requests until it is false again
+ *	raw		answer each request but those for /journal with these
+ *			bytes, and nothing else; "": don't
+ *	raw_endless	and then with these without end; "": none
  */
 #ifndef STANDIN_STANDIN_H
 #define STANDIN_STANDIN_H
@@ -29,6 +32,8 @@
 	bool down;
 	int64_t lose_answers; /* answers left to lose; -1: all */
 	bool freeze;
+	char raw[128];
+	char raw_endless[64];
 };
 
 struct standin;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -128,6 +128,8 @@
 	c->complete = false;
 	c->skipped_messages = 0;
 	c->skipped_bytes = 0;
+	c->read_bytes = 0;
+	c->body_bytes = 0;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
 	c->octets = (struct http_octets){ .allows_lf = true };
@@ -217,10 +219,15 @@
 
 	if (client == NULL)
 		return NULL;
+	/* Its own limit is for all parsers of the process. */
+	http_parser_set_max_header_size(UINT32_MAX);
 	client->opts = *opts;
 	client->opts.address = NULL;
 	if (client->opts.max_body == 0)
 		client->opts.max_body = HTTP_CLIENT_MAX_BODY;
+	client->own_quota.max = HTTP_CLIENT_MAX_ANSWERS;
+	if (client->opts.quota == NULL)
+		client->opts.quota = &client->own_quota;
 	TAILQ_INIT(&client->idle);
 	TAILQ_INIT(&client->busy);
 	TAILQ_INIT(&client->dead_conns);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -23,10 +23,11 @@
 struct tls;
 
 #define HTTP_CLIENT_MAX_BODY (16 * 1024 * 1024) /* bytes */
+#define HTTP_CLIENT_MAX_ANSWERS (32 * 1024 * 1024) /* bytes */
 
 /*
- * Bounds what several clients hold of all their answers together, in bytes, and
- * what waits to be written to others.
+ * Bounds what several clients hold of all their answers together, heads and
+ * bodies, in bytes, and what waits to be written to others.
  */
 struct http_buffer_quota {
 	size_t max; /* a call that needs more fails */
@@ -51,7 +52,10 @@
 	 * before it; more fail the call.  0: HTTP_CLIENT_MAX_BODY.
 	 */
 	size_t max_body;
-	/* Shared with other clients; NULL: none. */
+	/*
+	 * Shared with other clients; NULL: one of HTTP_CLIENT_MAX_ANSWERS for
+	 * this client.
+	 */
 	struct http_buffer_quota *quota;
 	int64_t connect_timeout_us; /* 0: only the call's timeout applies */
 	int64_t idle_timeout_us; /* of a keep-alive connection; 0: none */
@@ -78,8 +82,8 @@
 	 */
 	bool ended_by_close;
 	/*
-	 * Only if HTTP_CALL_FAILED: the body was over a limit of this client,
-	 * so that the server has not failed.
+	 * Only if HTTP_CALL_FAILED: the answer was over a limit of this client,
+	 * so that the server has not ended.
 	 */
 	bool over_limit;
 };
@@ -123,7 +127,10 @@
 	 * it, HTTP_CALL_FAILED if it has closed it.
 	 */
 	int64_t connect_only_us;
-	/* Called before the body is read; NULL: any response is accepted. */
+	/*
+	 * Called before the body is read; NULL: any response is accepted.  May
+	 * move the headers out of the list.
+	 */
 	enum http_response_verdict (*on_headers)(
 	    void *ctx, int code, struct evkeyvalq *headers);
 	/*
--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -11,6 +11,7 @@
 #include "common/clock.h"
 #include "common/number.h"
 #include "transport/http_client_internal.h"
+#include "transport/http_fields.h"
 #include "transport/socket.h"
 #include "transport/tls.h"
 
@@ -20,6 +21,7 @@
  */
 #define KEEP_ALIVE_MARGIN_US 1000000
 #define KEEP_ALIVE_MAX_S 86400 /* a longer one is cut to this */
+#define HEADER_VALUE_MIN 256 /* bytes allocated at first */
 
 /* ---- connections ---- */
 
@@ -73,12 +75,26 @@
 {
 	struct http_buffer_quota *quota = call->client->opts.quota;
 
-	if (quota == NULL)
-		return 0;
 	http_quota_update(quota, &call->held, held);
 	return quota->used > quota->max && held > HTTP_QUOTA_FREE ? -1 : 0;
 }
 
+static int
+count_answer(struct http_client_conn *c)
+{
+	return count_held(c->call, evbuffer_get_length(c->call->body) +
+				       c->headers_memory + c->value_size);
+}
+
+/* For a callback of the parser: fails the call by a limit of this client. */
+static int
+refuse_answer(struct http_client_conn *c)
+{
+	if (c->call != NULL)
+		c->call->over_limit = true;
+	return -1;
+}
+
 static void
 call_free(struct http_call *call)
 {
@@ -194,7 +210,7 @@
 conn_release(struct http_client_conn *c)
 {
 	struct http_client *client = c->client;
-	int64_t idle_us = keep_alive_timeout_us(c);
+	int64_t idle_us = c->keep_alive_us;
 	struct timeval tv = clock_timeval(idle_us);
 
 	if (!can_keep_alive(c) || idle_us == 1) {
@@ -220,6 +236,8 @@
 	struct http_client_conn *c = parser->data;
 
 	evhttp_clear_headers(&c->headers);
+	c->headers_memory = 0;
+	c->in_trailer = false;
 	c->discarding = false;
 	c->has_value = false;
 	c->name_len = 0;
@@ -227,16 +245,54 @@
 	return 0;
 }
 
+/* Returns -1 if the value is too long. */
+static int
+append_value(struct http_client_conn *c, const char *at, size_t len)
+{
+	size_t size = c->value_size == 0 ? HEADER_VALUE_MIN : c->value_size;
+
+	if (c->value_len + len >= HEADER_VALUE_MAX)
+		return -1;
+	while (c->value_len + len >= size)
+		size *= 2;
+	if (size != c->value_size) {
+		c->value = realloc(c->value, size);
+		if (c->value == NULL)
+			abort();
+		c->value_size = size;
+	}
+	memcpy(c->value + c->value_len, at, len);
+	c->value_len += len;
+	c->value[c->value_len] = '\0';
+	return 0;
+}
+
 static void
+free_value(struct http_client_conn *c)
+{
+	free(c->value);
+	c->value = NULL;
+	c->value_size = 0;
+}
+
+/* Returns -1 if the head takes too much memory. */
+static int
 store_header(struct http_client_conn *c)
 {
+	int rc = 0;
+
 	if (c->has_value && c->name_len > 0) {
-		c->value[c->value_len] = '\0';
 		evhttp_add_header(&c->headers, c->name, c->value);
+		c->headers_memory +=
+		    HTTP_FIELD_BYTES + c->name_len + c->value_len;
 	}
+	if (c->headers_memory > FIELDS_MEMORY_MAX ||
+	    (c->call != NULL && count_answer(c) == -1))
+		rc = -1;
 	c->has_value = false;
 	c->name_len = 0;
 	c->value_len = 0;
+	return rc;
 }
 
 static int
@@ -244,12 +300,14 @@
 {
 	struct http_client_conn *c = parser->data;
 
-	if (c->has_value)
-		store_header(c);
 	if (http_octets_in_name(at, len))
 		return -1;
+	if (c->in_trailer)
+		return 0; /* RFC 9110, section 6.5.1, allows to drop it */
+	if (c->has_value && store_header(c) == -1)
+		return refuse_answer(c);
 	if (c->name_len + len >= HEADER_NAME_MAX)
-		return -1;
+		return refuse_answer(c);
 	memcpy(c->name + c->name_len, at, len);
 	c->name_len += len;
 	c->name[c->name_len] = '\0';
@@ -261,19 +319,18 @@
 {
 	struct http_client_conn *c = parser->data;
 
+	if (c->in_trailer)
+		return 0;
 	c->has_value = true;
-	if (c->value_len + len >= HEADER_VALUE_MAX)
-		return -1;
-	memcpy(c->value + c->value_len, at, len);
-	c->value_len += len;
-	return 0;
+	return append_value(c, at, len) == -1 ? refuse_answer(c) : 0;
 }
 
 /* A server could send messages that are no answer for ever. */
 static int
 skip_message(struct http_client_conn *c)
 {
-	return ++c->skipped_messages > SKIPPED_MESSAGES_MAX ? -1 : 0;
+	return ++c->skipped_messages > SKIPPED_MESSAGES_MAX ? refuse_answer(c)
+							    : 0;
 }
 
 /* What RFC 9112, section 6.3, lets a recipient repair is an error here. */
@@ -311,9 +368,13 @@
 	struct http_client_conn *c = parser->data;
 	struct http_call *call = c->call;
 
-	store_header(c);
+	if (store_header(c) == -1)
+		return refuse_answer(c);
+	free_value(c);
 	if (call == NULL || !has_clear_length(c))
 		return -1;
+	c->in_trailer = true;
+	c->keep_alive_us = keep_alive_timeout_us(c);
 	http_octets_head_complete(&c->octets, (parser->flags & F_CHUNKED) != 0);
 	http_parser_pause(parser, 1);
 	if (parser->status_code < 200)
@@ -324,6 +385,9 @@
 		c->discarding = true;
 	if (c->dead || (c->discarding && skip_message(c) == -1))
 		return -1;
+	if (TAILQ_EMPTY(&c->headers))
+		c->headers_memory = 0;
+	(void)count_answer(c);
 	call->code = parser->status_code;
 	return has_body(call, parser->status_code) ? 0 : 1;
 }
@@ -334,14 +398,16 @@
 	struct http_client_conn *c = parser->data;
 	struct http_call *call = c->call;
 
+	c->body_bytes += len;
 	if (c->discarding) {
 		c->skipped_bytes += len;
-		return c->skipped_bytes > call->max_body ? -1 : 0;
+		return c->skipped_bytes > call->max_body ? refuse_answer(c) : 0;
 	}
 	evbuffer_add(call->body, at, len);
-	len = evbuffer_get_length(call->body);
-	call->over_limit = len > call->max_body || count_held(call, len) == -1;
-	return call->over_limit ? -1 : 0;
+	if (evbuffer_get_length(call->body) > call->max_body ||
+	    count_answer(c) == -1)
+		return refuse_answer(c);
+	return 0;
 }
 
 static int
@@ -401,7 +467,8 @@
 	if (call != NULL && call->opts.on_chunk != NULL && !call->ended &&
 	    evbuffer_get_length(call->body) > 0) {
 		call->opts.on_chunk(call->opts.ctx, call->body);
-		(void)count_held(call, evbuffer_get_length(call->body));
+		if (!c->dead)
+			(void)count_answer(c);
 	}
 }
 
@@ -416,13 +483,12 @@
 		.ended_by_close = c->ended_by_close,
 	};
 	struct evkeyvalq headers;
-	struct evkeyval *h;
 
 	http_parser_pause(&c->parser, 0);
 	/* The connection may be freed before on_done() reads its headers. */
 	TAILQ_INIT(&headers);
-	TAILQ_FOREACH(h, &c->headers, next)
-		evhttp_add_header(&headers, h->key, h->value);
+	TAILQ_CONCAT(&headers, &c->headers, next);
+	c->headers_memory = 0;
 	resp.headers = &headers;
 	conn_release(c);
 	report_response(call, &resp);
@@ -440,10 +506,17 @@
 		evtimer_add(call->timer, &tv);
 }
 
+static bool
+is_over_lines(const struct http_client_conn *c)
+{
+	return c->read_bytes - c->body_bytes >
+	       LINE_BYTES_MAX + LINE_BYTES_A_BYTE * c->body_bytes;
+}
+
 /*
  * Parses data until the answer is complete; len 0: the server has closed the
  * connection.  Adds what has been read to *used.  Returns -1 if it is malformed
- * or the connection was closed.
+ * or over a limit, or the connection was closed.
  */
 static int
 execute(struct http_client_conn *c, const char *data, size_t len, size_t *used)
@@ -460,6 +533,9 @@
 			http_parser_pause(&c->parser, 0);
 		if (http_octets_read(&c->octets, &before, data, n) != NULL)
 			return -1;
+		c->read_bytes += n;
+		if (is_over_lines(c))
+			return refuse_answer(c);
 		data += n;
 		len -= n;
 		*used += n;
@@ -578,11 +654,10 @@
 		abort();
 	c->client = client;
 	TAILQ_INIT(&c->headers);
-	c->value = malloc(HEADER_VALUE_MAX);
 	c->timer = evtimer_new(client->opts.base, on_conn_timer, c);
 	c->bev = tls_bufferevent(
 	    client->opts.tls, TLS_HTTP, client->opts.base, -1, true);
-	if (c->value == NULL || c->timer == NULL || c->bev == NULL) {
+	if (c->timer == NULL || c->bev == NULL) {
 		conn_free(c);
 		return NULL;
 	}
--- a/src/transport/http_client_internal.h
+++ b/src/transport/http_client_internal.h
@@ -19,6 +19,13 @@
 #define HEADER_NAME_MAX 256 /* size with the NUL; a longer one is an error */
 #define HEADER_VALUE_MAX 16384 /* size with the NUL */
 #define SKIPPED_MESSAGES_MAX 16 /* interim and discarded ones, of one call */
+/*
+ * What a call may receive that is no body: the lines of all heads, of chunk
+ * sizes and of a trailer.  Chunks of a byte take up to LINE_BYTES_A_BYTE.
+ */
+#define LINE_BYTES_MAX 65536
+#define LINE_BYTES_A_BYTE 16 /* in addition, for each byte of a body */
+#define FIELDS_MEMORY_MAX (1024 * 1024) /* bytes, of one head */
 
 struct bufferevent;
 struct event;
@@ -35,14 +42,20 @@
 	unsigned skipped_messages; /* interim or discarded, of this call */
 	size_t skipped_bytes; /* of their bodies */
 	bool has_value; /* the parser has passed a part of a value */
+	bool in_trailer; /* the head is complete */
 	bool complete; /* the call's response has been read */
 	bool ended_by_close; /* its end was the end of the connection */
+	size_t read_bytes; /* of this call */
+	size_t body_bytes; /* the part of them that is a body */
+	int64_t keep_alive_us; /* see keep_alive_timeout_us() */
 	http_parser parser;
 	struct http_octets octets;
-	struct evkeyvalq headers; /* of the response */
+	struct evkeyvalq headers; /* of the response, without its trailer */
+	size_t headers_memory;
 	char name[HEADER_NAME_MAX]; /* header that is being read */
 	size_t name_len;
-	char *value; /* HEADER_VALUE_MAX bytes */
+	char *value; /* value_size bytes; NULL: none */
+	size_t value_size;
 	size_t value_len;
 	TAILQ_ENTRY(http_client_conn) link;
 };
@@ -61,7 +74,7 @@
 	int code;
 	struct evbuffer *body;
 	size_t max_body; /* bytes */
-	size_t held; /* bytes of body that the quota counts */
+	size_t held; /* bytes of head and body that the quota counts */
 	struct http_call_options opts; /* only callbacks and ctx are valid */
 	TAILQ_ENTRY(http_call) link;
 };
@@ -73,6 +86,7 @@
 	struct http_client_options opts;
 	struct addr addr;
 	char host_header[ADDR_TEXT_MAX + 8]; /* value of Host */
+	struct http_buffer_quota own_quota; /* unless opts names one */
 	unsigned idle_count;
 	unsigned conn_count; /* those being opened included */
 	struct event *reaper; /* frees dead_conns and dead_calls */
--- a/src/transport/http_conns.c
+++ b/src/transport/http_conns.c
@@ -13,16 +13,12 @@
 #include <uthash.h>
 
 #include "common/metrics.h"
+#include "transport/http_fields.h"
 #include "transport/http_framing.h"
 
 /* A request of no more bytes isn't refused for what others hold. */
 #define HELD_FREE_BYTES 65536
 #define HEAD_FREE_BYTES 8192 /* the same of a head */
-/*
- * What a field of a head takes besides its bytes: evhttp's element of a list
- * and two strings, with what the allocator adds.
- */
-#define FIELD_BYTES 128
 #define STATUS_HEADERS_TOO_LARGE 431
 #define SWEEP_INTERVAL_US 250000 /* greatest delay of a time-out */
 
@@ -205,7 +201,7 @@
 {
 	size_t fields = http_framing_fields(conn->framing);
 	size_t held =
-	    conn->held + added + (fields - conn->fields) * FIELD_BYTES;
+	    conn->held + added + (fields - conn->fields) * HTTP_FIELD_BYTES;
 
 	conn->fields = fields;
 	set_held(c, conn, held,
--- a/test/process/test_accounts.c
+++ b/test/process/test_accounts.c
@@ -111,8 +111,8 @@
 	bool refused = true;
 
 	for (int i = 0; i < FLEET_GATEWAYS; i++)
-		refused &= code_of(i, "/look/1", (const char *[]){ NULL }) ==
-			   401;
+		refused &=
+		    code_of(i, "/look/1", (const char *[]){ NULL }) == 401;
 	return refused;
 }
 
--- a/test/process/test_endless_answers.c
+++ b/test/process/test_endless_answers.c
@@ -158,6 +158,137 @@
 	fleet_stop();
 }
 
+/* Lines that are no body and don't end: as answers to all, and what repeats. */
+static const struct {
+	const char *begin, *repeated;
+} lines[] = {
+	{ "HTTP/1.1 200 OK\\r\\n", "A: b\\r\\n" },
+	{ "HTTP/1.1 200 OK\\r\\n", "a:\\n" },
+	{ "HTTP/1.1 200 ", "O" },
+	{ "HTTP/1.1 100 Continue\\r\\n", "A: b\\r\\n" },
+	{ "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n1;",
+	    "x" },
+	{ "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n",
+	    "A: b\\r\\n" },
+};
+
+static char *
+lines_faults(size_t i)
+{
+	return g_strdup_printf("{\"raw\":\"%s\",\"raw_endless\":\"%s\"}",
+	    lines[i].begin, lines[i].repeated);
+}
+
+/*
+ * Guards against a replica whose head, interim answer, chunk's size or trailer
+ * doesn't end, and which ends gateways and its sidecar by their memory, and
+ * against callers that wait for such an answer until their deadline.
+ */
+static void
+test_endless_lines_exhaust_memory(void)
+{
+	struct response resp;
+
+	fleet_start();
+	fleet_configure(",{\"name\":\"faulty\",\"host\":\"h.example\","
+			"\"path_prefix\":\"/faulty/\",\"kind\":\"safe\","
+			"\"timeout_ms\":8000,\"latency_goal_ms\":2000,"
+			"\"priority\":1,\"service\":\"llm\","
+			"\"max_attempts\":1}");
+	sleep_ms(SETTLE_MS);
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		char *faults = lines_faults(i);
+
+		g_test_message("%s", faults);
+		fleet_set_faults(fleet.engines, FLEET_ENGINES, faults);
+		run_beside_bookings("/faulty/1", NULL);
+		run_beside_bookings("/stream/1", "m1");
+		(void)fleet_request(&resp, 0, "/faulty/1", NULL);
+		g_test_message("status %ld in %.3f s", resp.code, resp.seconds);
+		g_assert_cmpint(resp.code, >=, 500);
+		g_assert_cmpfloat(resp.seconds, <, 2);
+		response_clear(&resp);
+		assert_memory_below(&fleet.gateways[0], MEMORY_MAX_KB);
+		for (int e = 0; e < FLEET_ENGINES; e++) {
+			proc_assert_running(&fleet.engines[e].sidecar);
+			assert_memory_below(
+			    &fleet.engines[e].sidecar, SIDECAR_MEMORY_MAX_KB);
+		}
+		g_free(faults);
+	}
+	fleet_stop();
+}
+
+#define NO_RAW "{\"raw\":\"\",\"raw_endless\":\"\"}"
+
+static void
+complete(const struct cluster *cluster, struct response *resp)
+{
+	static const char *const headers[] = { "Rank: urgent",
+		"Content-Type: application/json", "Deadline-Ms: 8000", NULL };
+
+	http_call(resp, "POST", cluster->entries[0].http, "/v1/completions",
+	    headers,
+	    "{\"model\":\"alpha\",\"prompt\":\"hello\",\"max_tokens\":3}");
+	g_test_message("status %ld in %.3f s", resp->code, resp->seconds);
+}
+
+static bool
+is_completed(void *cluster)
+{
+	struct response resp;
+	bool ok;
+
+	complete(cluster, &resp);
+	ok = resp.code == 200;
+	response_clear(&resp);
+	return ok;
+}
+
+static void
+assert_cluster_memory(struct cluster *cluster)
+{
+	proc_assert_running(&cluster->entries[0].daemon);
+	proc_assert_running(&cluster->engines[0].daemon);
+	assert_memory_below(&cluster->entries[0].daemon, MEMORY_MAX_KB);
+	assert_memory_below(&cluster->engines[0].daemon, SIDECAR_MEMORY_MAX_KB);
+}
+
+/* The same of an agent's engine, and of the log that all daemons read. */
+static void
+test_endless_lines_fill_daemons(void)
+{
+	struct cluster_options opts = { .entries = 1, .engines = 1 };
+	struct cluster *cluster = cluster_start(&opts);
+	struct response resp;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		char *faults = lines_faults(i);
+
+		g_test_message("%s", faults);
+		await_true(is_completed, cluster, "a completion");
+		set_faults(cluster->engines[0].backend, faults);
+		complete(cluster, &resp);
+		g_assert_cmpint(resp.code, >=, 500);
+		g_assert_cmpfloat(resp.seconds, <, 4);
+		response_clear(&resp);
+		set_faults(cluster->engines[0].backend, NO_RAW);
+		assert_cluster_memory(cluster);
+		g_free(faults);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		char *faults = lines_faults(i);
+
+		set_faults(cluster->log, faults);
+		sleep_ms(TROUBLE_MS);
+		set_faults(cluster->log, NO_RAW);
+		assert_cluster_memory(cluster);
+		g_free(faults);
+	}
+	await_true(is_completed, cluster, "a completion");
+	cluster_stop(cluster);
+}
+
 /* Each value of a report takes many times its three bytes. */
 static void
 test_large_report_exhausts_memory(void)
@@ -211,6 +342,10 @@
 	    test_endless_streams_exhaust_memory);
 	g_test_add_func("/endless/bodies_exhaust_memory",
 	    test_endless_bodies_exhaust_memory);
+	g_test_add_func(
+	    "/endless/lines_exhaust_memory", test_endless_lines_exhaust_memory);
+	g_test_add_func(
+	    "/endless/lines_fill_daemons", test_endless_lines_fill_daemons);
 	g_test_add_func("/endless/large_report_exhausts_memory",
 	    test_large_report_exhausts_memory);
 	g_test_add_func(
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -2,15 +2,18 @@
  * The HTTP client against a scripted server.
  *
  * Guards against an answer that reaches another call, as an additional or late
- * answer on a kept-alive connection can, and against an incomplete answer that
- * is taken for a complete one.
+ * answer on a kept-alive connection can, against an incomplete answer that is
+ * taken for a complete one, and against bytes that are no answer and fill the
+ * memory.
  */
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include <arpa/inet.h>
+#include <bsd/sys/queue.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -21,8 +24,9 @@
 #include <sys/socket.h>
 
 #include "transport/http_client.h"
+#include "transport/http_framing.h"
 
-#define SCRIPT_MAX 8
+#define MAX_IDLE 4
 #define CALL_TIMEOUT_S 10
 #define MAX_BODY (256 * 1024)
 #define QUOTA (384 * 1024) /* of all answers together */
@@ -69,6 +73,9 @@
 	int64_t stall_us; /* of calls */
 	size_t most_held; /* bytes that the client held for a call */
 	struct http_buffer_quota quota;
+	size_t written; /* bytes of `repeated` */
+	size_t most_allocated; /* bytes, as the server went on to write */
+	size_t field_count; /* of the answer */
 };
 
 #define REPEAT_BYTES 16384 /* written at once */
@@ -91,13 +98,18 @@
 on_written(struct bufferevent *bev, void *arg)
 {
 	struct fixture *f = arg;
-	size_t len;
+	size_t len, allocated;
 
 	if (f->step == 0 || f->script[f->step - 1].ending != REPEAT)
 		return;
 	len = strlen(f->repeated);
-	for (size_t n = 0; n < REPEAT_BYTES; n += len)
+	for (size_t n = 0; n < REPEAT_BYTES; n += len) {
 		bufferevent_write(bev, f->repeated, len);
+		f->written += len;
+	}
+	allocated = mallinfo2().uordblks;
+	if (allocated > f->most_allocated)
+		f->most_allocated = allocated;
 }
 
 static void
@@ -159,7 +171,7 @@
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 	socklen_t len = sizeof(sin);
-	struct http_client_options opts = { .max_idle = 4,
+	struct http_client_options opts = { .max_idle = MAX_IDLE,
 		.address = f->address,
 		.max_body = MAX_BODY,
 		.connect_timeout_us = 2000000 };
@@ -208,6 +220,7 @@
 on_done(void *ctx, const struct http_response *resp)
 {
 	struct fixture *f = ctx;
+	struct evkeyval *h;
 	size_t len;
 
 	f->done = true;
@@ -216,6 +229,10 @@
 	f->body[0] = '\0';
 	f->ended_by_close = resp->ended_by_close;
 	f->over_limit = resp->over_limit;
+	f->field_count = 0;
+	if (resp->headers != NULL)
+		TAILQ_FOREACH(h, resp->headers, next)
+			f->field_count++;
 	if (resp->body != NULL) {
 		len = evbuffer_get_length(resp->body);
 		g_assert_cmpuint(len, <, sizeof(f->body));
@@ -266,6 +283,8 @@
 	event_base_dispatch(f->base);
 }
 
+/* Of the server's buffers, the client and its answer. */
+#define ENDLESS_MEMORY_MAX (3 * 1024 * 1024)
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define OK_A "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\na"
 #define OK_B "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nb"
@@ -527,6 +546,166 @@
 	}
 }
 
+/* What a daemon does that serves HTTP, too. */
+static void
+serve_http(void)
+{
+	static const struct http_framing_limits limits = { MAX_BODY, MAX_BODY };
+
+	http_framing_destroy(http_framing_create(&limits));
+}
+
+/*
+ * Guards against a process that runs out of memory, or reads for as long as its
+ * peer writes, as a peer's lines that are no body don't end: a head, of an
+ * interim or a discarded answer too, the sizes of chunks, a trailer.
+ */
+static void
+test_endless_lines(void)
+{
+	static const struct {
+		const char *begin, *repeated;
+	} endless[] = {
+		{ "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+		{ "HTTP/1.1 200 OK\r\n", "a:\n" },
+		{ "HTTP/1.1 200 OK\r\nA: ", "b" },
+		{ "HTTP/1.1 200 OK\r\nA", "b" },
+		{ "HTTP/1.1 200 ", "O" },
+		{ "HTTP/1.1 100 Continue\r\n", "A: b\r\n" },
+		{ "HTTP/1.1 100 ", "C" },
+		{ "HTTP/1.1 200 OK\r\nId: other\r\n", "A: b\r\n" },
+		{ "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\n1;",
+		    "x" },
+		{ CHUNKED "1;", "x" },
+		{ CHUNKED,
+		    "1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\na\r\n" },
+		{ CHUNKED, "000000000000000000000000000000000" },
+		{ CHUNKED "0\r\n", "A: b\r\n" },
+		{ CHUNKED "0\r\nA: ", "b" },
+	};
+
+	serve_http();
+	for (size_t i = 0; i < G_N_ELEMENTS(endless); i++) {
+		struct step script[] = { { endless[i].begin, REPEAT } };
+		size_t before = mallinfo2().uordblks;
+		struct fixture f;
+
+		open_fixture(&f, script);
+		f.repeated = endless[i].repeated;
+		f.accept_id = "a";
+		f.timeout_us = 1000000;
+		call(&f);
+		g_test_message("%d: status %d, %zu bytes written, %zu held",
+		    (int)i, f.status, f.written, f.most_allocated - before);
+		g_assert_cmpint(f.status, ==, HTTP_CALL_FAILED);
+		g_assert_true(f.over_limit);
+		g_assert_cmpuint(
+		    f.most_allocated, <, before + ENDLESS_MEMORY_MAX);
+		run_loop_briefly(&f);
+		g_assert_cmpuint(f.quota.used, ==, 0);
+		close_fixture(&f);
+	}
+}
+
+static void
+on_ignored(void *ctx, const struct http_response *resp)
+{
+	g_assert_cmpint(resp->status, ==, HTTP_CALL_OK);
+}
+
+/*
+ * Guards against a server whose answers together fill the memory of a daemon
+ * that has named no limit for them, as those to an agent's orders could.
+ */
+static void
+test_answers_have_a_sum(void)
+{
+	static const struct step script[] = { { CHUNKED, REPEAT },
+		{ CHUNKED, REPEAT }, { CHUNKED, REPEAT }, { CHUNKED, REPEAT },
+		{ CHUNKED, REPEAT } };
+	struct http_call_options opts = {
+		.method = EVHTTP_REQ_GET, .path = "/", .on_done = on_done
+	};
+	struct http_client_options client = { 0 };
+	char *chunk = g_strdup_printf("4000\r\n%0*d\r\n", 0x4000, 0);
+	size_t before = mallinfo2().uordblks;
+	struct fixture f;
+
+	open_fixture(&f, script);
+	f.repeated = chunk;
+	http_client_destroy(f.client);
+	client.base = f.base;
+	client.address = f.address;
+	f.client = http_client_create(&client);
+	opts.ctx = &f;
+	for (size_t i = 0; i < G_N_ELEMENTS(script); i++)
+		http_client_call(f.client, &opts);
+	while (!f.done)
+		event_base_loop(f.base, EVLOOP_ONCE);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_FAILED);
+	g_assert_true(f.over_limit);
+	g_assert_cmpuint(f.most_allocated, <,
+	    before + HTTP_CLIENT_MAX_ANSWERS + ENDLESS_MEMORY_MAX);
+	close_fixture(&f);
+	g_free(chunk);
+}
+
+/* Guards against memory that kept connections hold for heads of the past. */
+static void
+test_idle_connections_hold_heads(void)
+{
+	char *value = g_strnfill(16000, 'v');
+	char *answer =
+	    g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+			    "A: %s\r\nB: %s\r\n\r\na",
+		value, value);
+	const struct step script[] = { { OK_A, KEEP }, { OK_A, KEEP },
+		{ OK_A, KEEP }, { OK_A, KEEP }, { answer, KEEP },
+		{ answer, KEEP }, { answer, KEEP }, { answer, KEEP } };
+	struct http_call_options opts = {
+		.method = EVHTTP_REQ_GET, .path = "/", .on_done = on_ignored
+	};
+	size_t before = 0;
+	struct fixture f;
+
+	open_fixture(&f, script);
+	for (int round = 0; round < 2; round++) {
+		before = mallinfo2().uordblks;
+		for (int i = 0; i < MAX_IDLE; i++)
+			http_client_call(f.client, &opts);
+		run_loop_briefly(&f);
+		g_assert_cmpuint(
+		    http_client_conn_count(f.client), ==, MAX_IDLE);
+	}
+	g_assert_cmpuint(f.step, ==, G_N_ELEMENTS(script));
+	g_assert_cmpuint(mallinfo2().uordblks, <, before + strlen(value));
+	close_fixture(&f);
+	g_free(answer);
+	g_free(value);
+}
+
+/* Guards against fields of a trailer that are taken for fields of the head. */
+static void
+test_trailer_is_dropped(void)
+{
+	static const struct step script[] = { { CHUNKED "1\r\na\r\n0\r\n"
+							"Id: b\r\nX: 1\r\n\r\n",
+						  KEEP },
+		{ OK_B, KEEP } };
+	struct fixture f;
+
+	open_fixture(&f, script);
+	call(&f);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_OK);
+	g_assert_cmpstr(f.body, ==, "a");
+	g_assert_cmpuint(f.field_count, ==, 1);
+	call(&f);
+	g_assert_cmpstr(f.body, ==, "b");
+	g_assert_cmpuint(f.connections, ==, 1);
+	close_fixture(&f);
+}
+
 /* Two answers that fit by themselves, but not together. */
 static void
 test_quota(void)
@@ -621,6 +800,13 @@
 	g_test_add_func("/http_client/bounds_idle", test_bounds_idle);
 	g_test_add_func("/http_client/ends", test_ends);
 	g_test_add_func("/http_client/endless_answers", test_endless_answers);
+	g_test_add_func("/http_client/endless_lines", test_endless_lines);
+	g_test_add_func(
+	    "/http_client/answers_have_a_sum", test_answers_have_a_sum);
+	g_test_add_func("/http_client/idle_connections_hold_heads",
+	    test_idle_connections_hold_heads);
+	g_test_add_func(
+	    "/http_client/trailer_is_dropped", test_trailer_is_dropped);
 	g_test_add_func("/http_client/quota", test_quota);
 	g_test_add_func("/http_client/full_quota_fails_small_answer",
 	    test_full_quota_fails_small_answer);
