transport: an empty line between two answers is refused

Cause: when an interim or discarded answer ends, http_octets_begin() sets up the state of the next one within the parser's call, and http_octets_read() then notes the last bytes of the former in it. The check for line ends before a message sees bytes before them.

Evidence: /http_client/empty_line_before_answer before: "assertion failed (f.status == HTTP_CALL_FAILED): (0 == 2)".

Change: messages are numbered, and bytes are noted only in the state of their own message. The reader of requests begins the next request after noting, and was not affected.

--- a/src/transport/http_octets.c
+++ b/src/transport/http_octets.c
@@ -5,6 +5,7 @@
 void
 http_octets_begin(struct http_octets *o)
 {
+	o->messages++;
 	o->in_head = true;
 	o->in_lines = true;
 	o->in_size = false;
@@ -85,6 +86,9 @@
 		at.last[0] = at.last[1];
 		at.last[1] = data[i];
 	}
+	/* What has begun meanwhile has had no bytes yet. */
+	if (o->messages != before->messages)
+		return NULL;
 	memcpy(o->last, at.last, sizeof(o->last));
 	return NULL;
 }
--- a/src/transport/http_octets.h
+++ b/src/transport/http_octets.h
@@ -15,6 +15,7 @@
 /* Zeroed at first, except allows_lf. */
 struct http_octets {
 	bool allows_lf; /* lines of the head may end without a CR */
+	unsigned messages; /* begun so far */
 	bool in_head;
 	bool in_lines; /* of the head or the trailer */
 	bool in_size; /* the line with a chunk's size */
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -505,6 +505,26 @@
 	check_call(interim, HTTP_CALL_OK, "a", false);
 }
 
+/* Guards against bytes between an interim answer and the final one. */
+static void
+test_empty_line_before_answer(void)
+{
+	static const char *const lines[] = { "\r\n", "\n", "\r\n\r\n" };
+	struct fixture f;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		char *answer = g_strconcat("HTTP/1.1 100 Continue\r\n\r\n",
+		    lines[i], OK_A, NULL);
+		const struct step script[] = { { answer, KEEP } };
+
+		open_fixture(&f, script);
+		call(&f);
+		g_assert_cmpint(f.status, ==, HTTP_CALL_FAILED);
+		close_fixture(&f);
+		g_free(answer);
+	}
+}
+
 /*
  * Bytes that are no answer and never end must fail the call, with a bounded
  * part of them in memory, long before its timeout.
@@ -799,6 +819,8 @@
 	g_test_add_func("/http_client/stray_bytes", test_stray_bytes);
 	g_test_add_func("/http_client/bounds_idle", test_bounds_idle);
 	g_test_add_func("/http_client/ends", test_ends);
+	g_test_add_func("/http_client/empty_line_before_answer",
+	    test_empty_line_before_answer);
 	g_test_add_func("/http_client/endless_answers", test_endless_answers);
 	g_test_add_func("/http_client/endless_lines", test_endless_lines);
 	g_test_add_func(
