transport: a success that ends before its request is sent has been cut

Cause: the end of a connection ends an answer without a length, whatever of the request is unwritten.

Evidence: /http_client/end_during_upload before: "assertion failed (f.status == HTTP_CALL_FAILED): (0 == 2)".

Change: such a 2xx fails the call; a refusal that comes early is still passed on. A replica cannot have run what it has not been sent.

After: the test passes, as do /http_client/reset_during_upload and /http_edges/reset_during_upload, which guard the reported shape.

--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -543,6 +543,17 @@
 	return 0;
 }
 
+/*
+ * A refusal may come before the server has the whole request; a success that
+ * ends with the connection then has been cut.
+ */
+static bool
+is_cut_by_end(const struct http_client_conn *c)
+{
+	return c->complete && c->call != NULL && c->call->code < 300 &&
+	       !http_call_sent(c->call);
+}
+
 /* len 0: the server has closed the connection. */
 static void
 parse_response(struct http_client_conn *c, const char *data, size_t len)
@@ -554,7 +565,7 @@
 		return;
 	if (len > 0)
 		evbuffer_drain(bufferevent_get_input(c->bev), used);
-	if (rc == -1) {
+	if (rc == -1 || (len == 0 && is_cut_by_end(c))) {
 		deliver_body(c);
 		if (!c->dead)
 			conn_failed(c);
--- a/test/process/test_http_edges.c
+++ b/test/process/test_http_edges.c
@@ -27,6 +27,7 @@
 #define COUNT_DEFAULT 400
 #define CONNS_MAX 64
 #define ROUND_MS 8000
+#define UPLOAD_BYTES (1024 * 1024)
 
 struct replica_conn {
 	int fd; /* -1: none */
@@ -46,6 +47,7 @@
 	struct strict_request sent;
 	GString *answer;
 	bool breaks; /* the answer */
+	bool answers_early; /* once it has the head of the request */
 	bool answer_closes;
 	bool answer_resets;
 	unsigned runs;
@@ -388,6 +390,13 @@
 		return;
 	}
 	g_string_append_len(c->in, buf, n);
+	if (e.answers_early) {
+		if (strstr(c->in->str, "\r\n\r\n") != NULL) {
+			e.runs++;
+			write_answer(c);
+		}
+		return;
+	}
 	next = strict_read(&r, c->in->str, c->in->str + c->in->len);
 	if (next != NULL) {
 		/* One request at a time, and nothing behind it. */
@@ -622,10 +631,140 @@
 	fleet_stop();
 }
 
+/*
+ * Sends a request with so many bytes; returns the status of a whole answer, or
+ * 0.
+ */
+static int
+post(const char *path, size_t bytes)
+{
+	struct strict_answer a;
+	GString *text = g_string_new(NULL);
+	char *body = g_strnfill(bytes, 'u');
+	const char *next;
+	struct timeval tv = { ROUND_MS / 1000, 0 };
+	char buf[65536];
+	ssize_t n = -1;
+
+	e.number++;
+	open_caller();
+	setsockopt(e.caller, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	g_string_printf(e.request,
+	    "POST %s HTTP/1.1\r\nHost: h.example\r\n"
+	    "Tamarackmast-Request-Id: e%d\r\n"
+	    "Tamarackmast-Deadline-Ms: 2000\r\nConnection: close\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    path, e.number, bytes, body);
+	g_assert_cmpint(
+	    send(e.caller, e.request->str, e.request->len, MSG_NOSIGNAL), ==,
+	    (ssize_t)e.request->len);
+	while (e.caller != -1) {
+		struct pollfd fds[2 + CONNS_MAX] = { { .fd = e.listener,
+							 .events = POLLIN },
+			{ .fd = e.caller, .events = POLLIN } };
+
+		for (int i = 0; i < CONNS_MAX; i++)
+			fds[2 + i] = (struct pollfd){ .fd = e.conns[i].fd,
+				.events = POLLIN };
+		g_assert_cmpint(poll(fds, G_N_ELEMENTS(fds), ROUND_MS), >, 0);
+		if (fds[0].revents != 0)
+			accept_replica();
+		for (int i = 0; i < CONNS_MAX; i++) {
+			if (fds[2 + i].revents != 0)
+				read_replica(&e.conns[i]);
+		}
+		if (fds[1].revents == 0)
+			continue;
+		n = recv(e.caller, buf, sizeof(buf), 0);
+		if (n > 0) {
+			g_string_append_len(text, buf, n);
+			continue;
+		}
+		close(e.caller);
+		e.caller = -1;
+	}
+	next =
+	    read_answer(&a, "POST", text->str, text->str + text->len, n == 0);
+	strict_clear(&a.fields);
+	g_string_free(text, TRUE);
+	g_free(body);
+	return next == NULL ? 0 : a.status;
+}
+
+static bool
+second_configuration(void *gateway)
+{
+	return proc_log_contains(gateway, "\"version\":2,");
+}
+
+#define SEAL                                                                   \
+	"Tamarackmast-Instance-Id: i-edge\r\n"                                 \
+	"Tamarackmast-Response-Seal: seal\r\n"
+#define SEALED "HTTP/1.1 200 OK\r\n" SEAL
+
+static const char *const paths[] = { "/look/1", "/book/1", "/tail/1" };
+
+/* One of all paths, which answers once it has the head of a request. */
+static void
+start_early_replica(void)
+{
+	fleet_start();
+	start_replica();
+	await_true(replica_is_known, &fleet.gateways[0], "replicas");
+	fleet.extra_limits = ",\"max_body_bytes\":4194304";
+	fleet_configure(",{\"name\":\"tail\",\"host\":\"h.example\","
+			"\"path_prefix\":\"/tail/\",\"kind\":\"streaming\","
+			"\"timeout_ms\":2000,\"latency_goal_ms\":1000,"
+			"\"priority\":1,\"service\":\"app\","
+			"\"max_attempts\":2}");
+	await_true(second_configuration, &fleet.gateways[0], "larger bodies");
+	e.answers_early = true;
+	e.runs = 0;
+}
+
+static void
+stop_early_replica(void)
+{
+	e.answers_early = false;
+	fleet.extra_limits = NULL;
+	fleet_stop();
+}
+
+/*
+ * Guards against a part of an answer that reaches the caller as a whole one:
+ * the replica answers before it has read the request, and resets the
+ * connection.
+ */
+static void
+test_reset_during_upload(void)
+{
+	static const char *const answers[] = { SEALED "\r\ncut", SEALED "\r\n",
+		SEALED "Content-Type: text/event-stream\r\n\r\n"
+		       "id: 1\ndata: a\n\n",
+		SEALED "Content-Type: text/event-stream\r\n"
+		       "Transfer-Encoding: chunked\r\n\r\n"
+		       "10\r\nid: 1\ndata: a\n\n\r\n" };
+
+	start_early_replica();
+	for (size_t i = 0; i < G_N_ELEMENTS(answers) * 3 * 2; i++) {
+		g_string_assign(e.answer, answers[i / 6]);
+		/* With bytes unread, the kernel resets a closed connection. */
+		e.answer_closes = i % 2 == 0;
+		e.answer_resets = i % 2 == 1;
+		g_test_message("%s, answer %d, %s", paths[i / 2 % 3],
+		    (int)i / 6, i % 2 == 0 ? "closed" : "reset");
+		g_assert_cmpint(post(paths[i / 2 % 3], UPLOAD_BYTES), !=, 200);
+	}
+	g_assert_cmpuint(e.runs, >=, G_N_ELEMENTS(answers) * 2 * 2);
+	stop_early_replica();
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http_edges/drawn_messages", test_drawn_messages);
+	g_test_add_func(
+	    "/http_edges/reset_during_upload", test_reset_during_upload);
 	return g_test_run();
 }
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -40,6 +40,7 @@
 	RESET,
 	REPEAT, /* send `repeated` until the client closes the connection */
 	TRICKLE, /* send `repeated` byte by byte */
+	HALF_CLOSE, /* read nothing more, and send an end in order */
 };
 
 /* The server's answer to one request. */
@@ -69,6 +70,7 @@
 	const char *accept_id; /* discards answers with another "Id" */
 	bool takes_chunks; /* but drains none of them */
 	bool new_connection; /* for each call */
+	size_t upload; /* bytes of each call's body */
 	int64_t timeout_us; /* of calls; 0: CALL_TIMEOUT_S */
 	int64_t stall_us; /* of calls */
 	size_t most_held; /* bytes that the client held for a call */
@@ -127,6 +129,10 @@
 		f->trickle_fd = fd;
 		on_trickle(-1, 0, f);
 	}
+	if (s->ending == HALF_CLOSE) {
+		bufferevent_disable(bev, EV_READ);
+		shutdown(fd, SHUT_WR);
+	}
 	if (s->ending != CLOSE && s->ending != RESET)
 		return;
 	if (s->ending == RESET)
@@ -260,6 +266,8 @@
 		.timeout_us = f->timeout_us != 0 ? f->timeout_us
 						 : CALL_TIMEOUT_S * 1000000LL,
 		.stall_us = f->stall_us,
+		.body = f->upload > 0 ? g_strnfill(f->upload, 'u') : NULL,
+		.body_len = f->upload,
 		.new_connection = f->new_connection,
 		.on_headers = on_headers,
 		.on_chunk = f->takes_chunks ? on_chunk : NULL,
@@ -269,6 +277,7 @@
 
 	f->done = false;
 	http_client_call(f->client, &opts);
+	g_free((char *)opts.body);
 	while (!f->done)
 		event_base_loop(f->base, EVLOOP_ONCE);
 }
@@ -285,6 +294,8 @@
 
 /* Of the server's buffers, the client and its answer. */
 #define ENDLESS_MEMORY_MAX (3 * 1024 * 1024)
+#define UPLOAD (4 * 1024 * 1024)
+#define RESETS 20 /* of each kind, as the order of events varies */
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define OK_A "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\na"
 #define OK_B "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nb"
@@ -525,6 +536,65 @@
 	}
 }
 
+/*
+ * Guards against a part of an answer that is taken for a complete one: the
+ * server answers while it is sent a long body, and resets the connection.  The
+ * error can be reported to the write, and an end of file to the next read.
+ */
+static void
+test_reset_during_upload(void)
+{
+	static const char *const answers[] = { "HTTP/1.1 200 OK\r\n\r\ncut",
+		"HTTP/1.0 200 OK\r\n\r\ncut", "HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncut",
+		CHUNKED "3\r\ncut\r\n" };
+	struct fixture f;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers) * 4 * RESETS; i++) {
+		/* With bytes unread, the kernel resets a closed connection. */
+		const struct step script[] = { { answers[i / (4 * RESETS)],
+		    i % 2 == 0 ? RESET : CLOSE } };
+
+		open_fixture(&f, script);
+		f.upload = UPLOAD;
+		f.takes_chunks = i / 2 % 2 == 1;
+		call(&f);
+		if (f.status != HTTP_CALL_FAILED)
+			g_error("answer %d: status %d, %s", (int)i, f.status,
+			    f.body);
+		close_fixture(&f);
+	}
+}
+
+/*
+ * The same of a server that ends its answer in order, but has not been sent the
+ * whole request: a refusal may be whole, a success is not.
+ */
+static void
+test_end_during_upload(void)
+{
+	static const struct step cut[] = { { "HTTP/1.1 200 OK\r\n\r\ncut",
+	    HALF_CLOSE } };
+	static const struct step refused[] = {
+		{ "HTTP/1.1 503 Busy\r\n\r\nwhole", HALF_CLOSE }
+	};
+	struct fixture f;
+
+	open_fixture(&f, cut);
+	f.upload = UPLOAD;
+	call(&f);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_FAILED);
+	close_fixture(&f);
+
+	open_fixture(&f, refused);
+	f.upload = UPLOAD;
+	call(&f);
+	g_assert_cmpint(f.status, ==, HTTP_CALL_OK);
+	g_assert_cmpint(f.code, ==, 503);
+	g_assert_cmpstr(f.body, ==, "whole");
+	close_fixture(&f);
+}
+
 /*
  * Bytes that are no answer and never end must fail the call, with a bounded
  * part of them in memory, long before its timeout.
@@ -821,6 +891,10 @@
 	g_test_add_func("/http_client/ends", test_ends);
 	g_test_add_func("/http_client/empty_line_before_answer",
 	    test_empty_line_before_answer);
+	g_test_add_func(
+	    "/http_client/reset_during_upload", test_reset_during_upload);
+	g_test_add_func(
+	    "/http_client/end_during_upload", test_end_during_upload);
 	g_test_add_func("/http_client/endless_answers", test_endless_answers);
 	g_test_add_func("/http_client/endless_lines", test_endless_lines);
 	g_test_add_func(
