transport: a status of other than three digits is no answer

Here 000 fails, but 0200 and 00200 reach the caller as 200, 600 to 999 as they are, and a head with 000 and no body is skipped like an interim one.

Cause: http_parser takes any number of digits and spaces, and only "below 200" was asked of it.

Evidence: /http_client/odd_status before: "assertion failed (f.status == HTTP_CALL_FAILED): (0 == 2)"; /http_edges/odd_status, at a gateway: "assertion failed (post(paths[i % 3], 0) / 10 == 50): (20 == 50)".

Change: http_octets checks the beginning of an answer, byte by byte: HTTP/1.x, one space, 100 to 599, then a space or the line's end. Such an answer is lost: repeated where the route allows it, else 502.

After: both tests pass, and /http_edges/drawn_messages.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -132,7 +132,7 @@
 	c->body_bytes = 0;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
-	c->octets = (struct http_octets){ .allows_lf = true };
+	c->octets = (struct http_octets){ .is_answer = true };
 	http_octets_begin(&c->octets);
 	if (opts->connect_only_us == 0)
 		write_request(call->client, c, opts);
--- a/src/transport/http_octets.c
+++ b/src/transport/http_octets.c
@@ -2,10 +2,13 @@
 
 #include <string.h>
 
+#define STATUS_LINE_MIN 13 /* bytes, to the one behind the status */
+
 void
 http_octets_begin(struct http_octets *o)
 {
 	o->messages++;
+	o->status_line = 0;
 	o->in_head = true;
 	o->in_lines = true;
 	o->in_size = false;
@@ -38,6 +41,32 @@
 	o->in_size = !o->in_lines;
 }
 
+static bool
+is_digit(char c)
+{
+	return c >= '0' && c <= '9';
+}
+
+/* Sections 4 of RFC 9112 and 15 of RFC 9110; at: of the byte in its line. */
+static bool
+fits_status_line(unsigned at, char c)
+{
+	static const char form[] = "HTTP/1.0 200";
+
+	switch (at) {
+	case 7: /* minor version */
+	case 10:
+	case 11:
+		return is_digit(c);
+	case 9:
+		return c >= '1' && c <= '5';
+	case STATUS_LINE_MIN - 1:
+		return c == ' ' || c == '\r' || c == '\n';
+	default:
+		return c == form[at];
+	}
+}
+
 static const char *
 byte_fault(const struct http_octets *o, char c)
 {
@@ -46,8 +75,11 @@
 
 	if (o->in_head && last == 0 && (c == '\r' || c == '\n'))
 		return "empty line before a message";
+	if (o->in_head && o->is_answer && o->status_line < STATUS_LINE_MIN &&
+	    !fits_status_line(o->status_line, c))
+		return "no status line";
 	if ((last == '\r' && c != '\n') ||
-	    (c == '\n' && last != '\r' && !(o->allows_lf && o->in_head)))
+	    (c == '\n' && last != '\r' && !(o->is_answer && o->in_head)))
 		return "bare CR or LF";
 	if (last == '\n' && (c == ' ' || c == '\t'))
 		return "folded line, or space before a name";
@@ -85,11 +117,14 @@
 			return why;
 		at.last[0] = at.last[1];
 		at.last[1] = data[i];
+		if (at.in_head && at.status_line < STATUS_LINE_MIN)
+			at.status_line++;
 	}
 	/* What has begun meanwhile has had no bytes yet. */
 	if (o->messages != before->messages)
 		return NULL;
 	memcpy(o->last, at.last, sizeof(o->last));
+	o->status_line = at.status_line;
 	return NULL;
 }
 
--- a/src/transport/http_octets.h
+++ b/src/transport/http_octets.h
@@ -2,8 +2,8 @@
  * http_octets -- examines what http_parser takes for lines of a message.
  *
  * http_parser is built to let pass any byte after a CR, any two after a chunk,
- * and spaces in names and chunk sizes: two readers of such a message can differ
- * on where it ends.  The caller pauses the parser at the points named below and
+ * spaces in names and chunk sizes, and any number as a status: two readers of
+ * such a message can differ on where it ends, and on what it says.  The caller pauses the parser at the points named below and
  * passes all bytes that it has read.
  */
 #ifndef TRANSPORT_HTTP_OCTETS_H
@@ -12,15 +12,17 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-/* Zeroed at first, except allows_lf. */
+/* Zeroed at first, except is_answer. */
 struct http_octets {
-	bool allows_lf; /* lines of the head may end without a CR */
+	/* An answer; the lines of its head may end without a CR. */
+	bool is_answer;
 	unsigned messages; /* begun so far */
 	bool in_head;
 	bool in_lines; /* of the head or the trailer */
 	bool in_size; /* the line with a chunk's size */
 	bool in_extension; /* of that line, behind the size */
 	bool line_ended; /* of a chunk's size, or behind its data */
+	unsigned status_line; /* bytes of it that were read, STATUS_LINE_MIN */
 	char last[2]; /* bytes read before */
 };
 
--- a/test/process/test_http_edges.c
+++ b/test/process/test_http_edges.c
@@ -759,6 +759,38 @@
 	stop_early_replica();
 }
 
+/*
+ * Guards against an answer without a status that reaches the caller: plain and
+ * in events, with each way to end, and as if it were an interim one.
+ */
+static void
+test_odd_status(void)
+{
+	static const char *const statuses[] = { "000", "0200", "00200", "600",
+		"999", " 200", "099" };
+	static const char *const rests[] = { "Content-Length: 1\r\n\r\na",
+		"\r\na",
+		"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+		"Content-Length: 0\r\n\r\n" SEALED
+		"Content-Length: 1\r\n\r\na" };
+	size_t count = G_N_ELEMENTS(statuses) * 3 * G_N_ELEMENTS(rests);
+
+	start_early_replica();
+	for (size_t i = 0; i < count; i++) {
+		const char *status = statuses[i / 3 / G_N_ELEMENTS(rests)];
+
+		g_string_printf(e.answer, "HTTP/1.1 %s X\r\n" SEAL "%s", status,
+		    rests[i / 3 % G_N_ELEMENTS(rests)]);
+		e.answer_closes = true;
+		e.answer_resets = false;
+		g_test_message("%s, %s", paths[i % 3], e.answer->str);
+		/* 503 as the last one has failed, or 502. */
+		g_assert_cmpint(post(paths[i % 3], 0) / 10, ==, 50);
+	}
+	g_assert_cmpuint(e.runs, >=, count / 2);
+	stop_early_replica();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -766,5 +798,6 @@
 	g_test_add_func("/http_edges/drawn_messages", test_drawn_messages);
 	g_test_add_func(
 	    "/http_edges/reset_during_upload", test_reset_during_upload);
+	g_test_add_func("/http_edges/odd_status", test_odd_status);
 	return g_test_run();
 }
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -595,6 +595,37 @@
 	close_fixture(&f);
 }
 
+/* Guards against an answer whose status is none (RFC 9110, section 15). */
+static void
+test_odd_status(void)
+{
+	static const char *const statuses[] = { "000", "0", "00", "099", "0200",
+		"00200", "2000", "20", "2", "600", "700", "999", "1000", "-200",
+		"+200", " 200", "2 00", "20O", "4294967496", "65736" };
+	static const char *const rests[] = {
+		"Content-Length: 1\r\n\r\na",
+		"\r\na",
+		"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+	};
+	struct fixture f;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses) * 2 * G_N_ELEMENTS(rests);
+	     i++) {
+		const char *status = statuses[i / 2 / G_N_ELEMENTS(rests)];
+		char *answer = g_strdup_printf("HTTP/1.1 %s%s\r\n%s", status,
+		    i % 2 == 0 ? "" : " X", rests[i / 2 % G_N_ELEMENTS(rests)]);
+		const struct step script[] = { { answer, CLOSE } };
+
+		open_fixture(&f, script);
+		call(&f);
+		if (f.status != HTTP_CALL_FAILED)
+			g_test_message("%s: taken as %d", answer, f.code);
+		g_assert_cmpint(f.status, ==, HTTP_CALL_FAILED);
+		close_fixture(&f);
+		g_free(answer);
+	}
+}
+
 /*
  * Bytes that are no answer and never end must fail the call, with a bounded
  * part of them in memory, long before its timeout.
@@ -895,6 +926,7 @@
 	    "/http_client/reset_during_upload", test_reset_during_upload);
 	g_test_add_func(
 	    "/http_client/end_during_upload", test_end_during_upload);
+	g_test_add_func("/http_client/odd_status", test_odd_status);
 	g_test_add_func("/http_client/endless_answers", test_endless_answers);
 	g_test_add_func("/http_client/endless_lines", test_endless_lines);
 	g_test_add_func(
