--- a/src/transport/http_octets.h
+++ b/src/transport/http_octets.h
@@ -3,8 +3,9 @@
  *
  * http_parser is built to let pass any byte after a CR, any two after a chunk,
  * spaces in names and chunk sizes, and any number as a status: two readers of
- * such a message can differ on where it ends, and on what it says.  The caller pauses the parser at the points named below and
- * passes all bytes that it has read.
+ * such a message can differ on where it ends, and on what it says.  The caller
+ * pauses the parser at the points named below and passes all bytes that it has
+ * read.
  */
 #ifndef TRANSPORT_HTTP_OCTETS_H
 #define TRANSPORT_HTTP_OCTETS_H
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -524,8 +524,8 @@
 	struct fixture f;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
-		char *answer = g_strconcat("HTTP/1.1 100 Continue\r\n\r\n",
-		    lines[i], OK_A, NULL);
+		char *answer = g_strconcat(
+		    "HTTP/1.1 100 Continue\r\n\r\n", lines[i], OK_A, NULL);
 		const struct step script[] = { { answer, KEEP } };
 
 		open_fixture(&f, script);
