protocol: a request is freed with its caller

Each stream that its client leaves costs the size of its request for the life of the process.

Cause: once a response has begun, evhttp itself reads the end of the connection. It takes a request whose response has not ended off the connection and leaves it to its owner; on_conn_closed() took it for freed.

Evidence: /caller/leaves/begun, midway, unread and aborting before: 200 callers with 100 KB each, "assertion failed (mallinfo2().uordblks < before + MEMORY_MAX): ( < 693648)". ended_unread, and callers that leave before an answer begins, keep nothing.

Change: a request without a connection at that time belongs to the caller object and is freed with it. All users of caller_create(), at gateways and entries, hold requests through it; the other ports answer at once.

--- a/src/protocol/caller.c
+++ b/src/protocol/caller.c
@@ -27,6 +27,7 @@
 struct caller {
 	struct http_server *server;
 	struct evhttp_request *req; /* NULL once the connection is closed */
+	struct evhttp_request *orphan; /* the same, if evhttp has left it */
 	struct http_close_watch *watch;
 	size_t max_backlog;
 	bool response_started;
@@ -74,16 +75,24 @@
 	http_close_watch_free(c->watch);
 	if (c->open_count != NULL)
 		(*c->open_count)--;
+	if (c->orphan != NULL)
+		evhttp_request_free(c->orphan);
 	free(c);
 }
 
-/* Runs when evhttp has freed the request, or is about to. */
+/*
+ * evhttp frees the requests of a connection with it.  A request whose response
+ * has not ended when evhttp reads an end or an error, it takes off the
+ * connection instead and leaves to its owner, who may still use its body.
+ */
 static void
 on_conn_closed(struct evhttp_connection *evcon, void *ctx)
 {
 	struct caller *c = ctx;
 
 	unwatch_output(c, evcon);
+	if (evhttp_request_get_connection(c->req) == NULL)
+		c->orphan = c->req;
 	if (c->response_complete) {
 		caller_free(c);
 		return;
