transport: a call ends before its connection is freed

Seen: nothing yet; named by the review. An exchange keeps the connection of a pending call (prefill_conn, quota_conn, limit_conn) to give the call up. If the call closes its connection, as the peer does not read, the connection could be freed while the exchange still names it.

Cause: a call that could not be sent was ended by a timer of its own, the connection by an event that was activated before.

Evidence: /rpc/call_outlives_connection before: "'is_listed(call_ctx->f->rpc, call_ctx->conn)' should be TRUE".

Change: the connection ends the calls that could not be sent on it before it is freed, behind on_closed(), so that owners make no further ones.

After: the test passes, and the others of /rpc.

--- a/src/transport/rpc.h
+++ b/src/transport/rpc.h
@@ -121,8 +121,9 @@
 size_t rpc_conn_backlog(const struct rpc_conn *);
 
 /*
- * Sends a call.  done() runs exactly once, never before this returns.  Its
- * reply is NULL unless the status is RPC_OK, and is freed after done() returns.
+ * Sends a call.  done() runs exactly once, never before this returns, and
+ * before the connection is freed, also if the call has closed it.  Its reply is
+ * NULL unless the status is RPC_OK, and is freed after done() returns.
  */
 void rpc_conn_call(struct rpc_conn *, uint32_t proc, xdrproc_t xdr_args,
     const void *args, xdrproc_t xdr_reply, size_t reply_size,
--- a/src/transport/rpc_conn.c
+++ b/src/transport/rpc_conn.c
@@ -256,6 +256,8 @@
 		conn->rpc->opts.on_closed(conn->rpc->opts.ctx, conn);
 	else if (!conn->open && conn->on_opened != NULL)
 		conn->on_opened(conn->opened_ctx, conn, false);
+	/* Nobody calls on it any more. */
+	rpc_pending_end_unsent(conn);
 	TAILQ_FOREACH_SAFE(call, &conn->calls, link, call_next) {
 		TAILQ_REMOVE(&conn->calls, call, link);
 		call->conn = NULL;
--- a/src/transport/rpc_internal.h
+++ b/src/transport/rpc_internal.h
@@ -30,6 +30,7 @@
 struct pending_call {
 	uint32_t xid; /* key in the table of conn, or in rpc->unsent */
 	struct rpc_conn *conn; /* NULL: in rpc->unsent */
+	struct rpc_conn *unsent_on; /* NULL: not in rpc->unsent */
 	struct rpc *rpc;
 	struct event *timer;
 	bool sent; /* queued for writing */
@@ -110,6 +111,8 @@
 
 /* Frees the call and runs its done(). */
 void rpc_pending_end(struct pending_call *, enum rpc_status, void *reply);
+/* Ends all calls that could not be sent on the connection. */
+void rpc_pending_end_unsent(struct rpc_conn *);
 
 /* ---- rpc_serve.c ---- */
 
--- a/src/transport/rpc_pending.c
+++ b/src/transport/rpc_pending.c
@@ -43,6 +43,19 @@
 	rpc_pending_end(arg, RPC_NOT_SENT, NULL);
 }
 
+void
+rpc_pending_end_unsent(struct rpc_conn *conn)
+{
+	struct pending_call *p, *next;
+
+	HASH_ITER(hh, conn->rpc->unsent, p, next) {
+		if (p->unsent_on != conn)
+			continue;
+		rpc_pending_end(p, RPC_NOT_SENT, NULL);
+		next = conn->rpc->unsent; /* done() may have ended others */
+	}
+}
+
 void
 rpc_conn_call(struct rpc_conn *conn, uint32_t proc, xdrproc_t xdr_args,
     const void *args, xdrproc_t xdr_reply, size_t reply_size,
@@ -71,7 +84,8 @@
 		p->conn = conn;
 		HASH_ADD(hh, conn->pending, xid, sizeof(p->xid), p);
 	} else {
-		/* The connection may be freed before done() runs. */
+		/* The connection ends it at the latest. */
+		p->unsent_on = conn;
 		p->xid = rpc->next_unsent_id++;
 		HASH_ADD(hh, rpc->unsent, xid, sizeof(p->xid), p);
 		tv = clock_timeval(0);
--- a/test/unit/test_rpc.c
+++ b/test/unit/test_rpc.c
@@ -16,7 +16,7 @@
 #include "common/metrics.h"
 #include "protocol/codec.h"
 #include "protocol/tm_xdr.h"
-#include "transport/rpc.h"
+#include "transport/rpc_internal.h"
 
 #define MAX_RECORD 16384
 #define MAX_OUTPUT 65536
@@ -390,6 +390,58 @@
 	g_assert_cmpuint(f->not_sent, ==, 1);
 }
 
+static bool
+is_listed(const struct rpc *rpc, const struct rpc_conn *conn)
+{
+	const struct rpc_conn *c;
+
+	TAILQ_FOREACH(c, &rpc->conns, link) {
+		if (c == conn)
+			return true;
+	}
+	return false;
+}
+
+/* As its owner does that gives the call up. */
+static void
+on_ended(void *ctx, enum rpc_status status, void *reply)
+{
+	struct call_ctx *call_ctx = ctx;
+
+	g_assert_true(is_listed(call_ctx->f->rpc, call_ctx->conn));
+	rpc_conn_drop_callbacks(call_ctx->conn, call_ctx->f->metrics);
+	call_ctx->f->not_sent += status == RPC_NOT_SENT;
+}
+
+/*
+ * Guards against a connection that is freed before a call ends that it closed
+ * within: owners keep it until then, to give the call up.
+ */
+static void
+test_call_outlives_connection(struct fixture *f, gconstpointer data)
+{
+	struct call_ctx call_ctx = { .f = f,
+		.conn = rpc_next_conn(f->rpc, NULL) };
+	char *vm = g_strnfill(TM_NAME_MAX, 'v');
+	struct tm_drain_args args = { .vm = vm };
+
+	/* The peer reads nothing: the output queue fills up. */
+	for (int i = 0; i < MAX_OUTPUT / TM_NAME_MAX && !call_ctx.conn->closing;
+	     i++)
+		rpc_conn_call(call_ctx.conn, TM_DRAIN,
+		    (xdrproc_t)xdr_tm_drain_args, &args,
+		    (xdrproc_t)xdr_tm_drain_reply,
+		    sizeof(struct tm_drain_reply), 1000000, on_ended,
+		    &call_ctx);
+	g_assert_true(call_ctx.conn->closing);
+	for (int ms = 0; ms < TIMEOUT_MS && f->not_sent == 0; ms++) {
+		event_base_loop(f->base, EVLOOP_NONBLOCK);
+		g_usleep(1000);
+	}
+	g_assert_cmpuint(f->not_sent, ==, 1);
+	g_free(vm);
+}
+
 #define ADD_TEST(name)                                                         \
 	g_test_add("/rpc/" #name, struct fixture, NULL, set_up, test_##name,   \
 	    tear_down)
@@ -432,6 +484,7 @@
 	ADD_TEST(unread);
 	ADD_TEST(too_many);
 	ADD_TEST(call_while_closing);
+	ADD_TEST(call_outlives_connection);
 	g_test_add_func("/rpc/huge_record", test_record_max);
 	return g_test_run();
 }
