transport: a call that is given up resets its connection

Cause: a cancelled call closed its connection in order. Such an end follows what was sent and says only that no more is: the request is delivered whole once the machine goes on. Times of one request: sent 24.6004 s, its client leaves 25.917 s, the gateway's "caller left" 25.9205 s, read by the replica 32.100 s. So the gateway notices and cancels at once.

Evidence: /http_client/given_up_call_is_reset before: "assertion failed (f.resets == 1): (0 == 1)".

Change: a connection whose call has not ended is reset by its close, for calls that are cancelled and that time out. What is still on its way is void, and a server that has it learns that nobody waits.

--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -51,6 +51,12 @@
 		TAILQ_REMOVE(&client->idle, c, link);
 	if (c->call == NULL && c->connected)
 		client->idle_count--;
+	/*
+	 * An end in order could mean that no more is sent, and the server would
+	 * run what it reads late.
+	 */
+	if (c->call != NULL && c->connected && !c->complete)
+		socket_reset_on_close(bufferevent_getfd(c->bev));
 	if (c->call != NULL)
 		c->call->conn = NULL;
 	c->call = NULL;
--- a/src/transport/socket.c
+++ b/src/transport/socket.c
@@ -15,6 +15,14 @@
 	(void)connect(fd, &unspec, sizeof(unspec));
 }
 
+void
+socket_reset_on_close(evutil_socket_t fd)
+{
+	struct linger now = { 1, 0 };
+
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
 void
 socket_set_peer_timeout(evutil_socket_t fd, int64_t timeout_us)
 {
--- a/src/transport/socket.h
+++ b/src/transport/socket.h
@@ -6,6 +6,9 @@
 
 #include <event2/util.h>
 
+/* Makes the next close() reset the connection: what is not read is lost. */
+void socket_reset_on_close(evutil_socket_t);
+
 /*
  * Makes the kernel close a connection whose peer acknowledges nothing for
  * timeout_us, by keep-alive probes if no data is in flight: a network that
--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -59,6 +59,7 @@
 	int trickle_fd;
 	unsigned step;
 	unsigned connections;
+	unsigned resets, ends; /* of connections, by the client */
 	char address[32];
 	/* The last call: */
 	bool done;
@@ -155,6 +156,10 @@
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
+	struct fixture *f = arg;
+
+	f->resets += (what & BEV_EVENT_ERROR) != 0;
+	f->ends += (what & BEV_EVENT_EOF) != 0;
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
 		bufferevent_free(bev);
 }
@@ -595,6 +600,39 @@
 	close_fixture(&f);
 }
 
+/*
+ * Guards against a server that runs a request late, as it takes the end of its
+ * connection for that of what is sent: a call that is given up, before its
+ * answer or within it, resets the connection.
+ */
+static void
+test_given_up_call_is_reset(void)
+{
+	static const char *const parts[] = { "", "HTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\n\r\npart" };
+	struct http_call_options opts = {
+		.method = EVHTTP_REQ_GET, .path = "/", .on_done = on_done
+	};
+	struct fixture f;
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(parts); i++) {
+		const struct step script[] = { { parts[i / 2], KEEP } };
+		struct http_call *call;
+
+		open_fixture(&f, script);
+		opts.timeout_us = i % 2 == 0 ? 20000 : 0;
+		opts.ctx = &f;
+		call = http_client_call(f.client, &opts);
+		run_loop_briefly(&f);
+		if (i % 2 == 1)
+			http_call_cancel(call);
+		run_loop_briefly(&f);
+		g_assert_cmpuint(f.resets, ==, 1);
+		g_assert_cmpuint(f.ends, ==, 0);
+		close_fixture(&f);
+	}
+}
+
 /* Guards against an answer whose status is none (RFC 9110, section 15). */
 static void
 test_odd_status(void)
@@ -926,6 +964,8 @@
 	    "/http_client/reset_during_upload", test_reset_during_upload);
 	g_test_add_func(
 	    "/http_client/end_during_upload", test_end_during_upload);
+	g_test_add_func(
+	    "/http_client/given_up_call_is_reset", test_given_up_call_is_reset);
 	g_test_add_func("/http_client/odd_status", test_odd_status);
 	g_test_add_func("/http_client/endless_answers", test_endless_answers);
 	g_test_add_func("/http_client/endless_lines", test_endless_lines);
