--- a/src/transport/http_client_conn.c
+++ b/src/transport/http_client_conn.c
@@ -55,7 +55,8 @@
 	 * An end in order could mean that no more is sent, and the server would
 	 * run what it reads late.
 	 */
-	if (c->call != NULL && c->connected && !c->complete)
+	if (c->call != NULL && c->call->connect_only_us == 0 && c->connected &&
+	    !c->complete)
 		socket_reset_on_close(bufferevent_getfd(c->bev));
 	if (c->call != NULL)
 		c->call->conn = NULL;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -466,7 +466,6 @@
 {
 	struct http_close_watch *watch = arg;
 	char byte;
-
 	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
 	if ((what & EV_CLOSED) || n == 0 || (n == -1 && errno != EAGAIN))
