test: the soak draws answers without end and callers that leave

Two threads of their own, so that the schedules of earlier seeds stay: backend servers whose heads, status lines, interim answers and trailers don't end, or whose status is 000; callers that leave within 300 ms, some in the middle of a head, by an end, a reset or an end of their side. After a run no gateway and no sidecar has taken more than 120 MB, the smallest VM of a gateway.

--- a/test/process/test_soak_platform.c
+++ b/test/process/test_soak_platform.c
@@ -2,7 +2,8 @@
  * Gateways and sidecars under load and random faults.  Guards against bookings
  * that run twice or although they were refused, streams that end incomplete
  * without an error, late answers, gateways that don't recover, and replicas
- * that get more requests than they name as their limit.  Faults of processes
+ * that get more requests than they name as their limit, and processes that
+ * grow by answers without end and by callers that leave.  Faults of processes
  * and of connections, limits and silences of the store come from several
  * threads, so that they overlap.
  *
@@ -14,9 +15,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/in.h>
 
+#include "common/addr.h"
 #include "harness_fleet.h"
 
 #define DEFAULT_SEED 1
@@ -40,6 +46,8 @@
 #define LIMIT_MIN_MS 4000
 #define LIMIT_MAX_MS 8000
 #define LIMIT_MAX 5
+#define LEAVE_MAX_MS 300
+#define MEMORY_MAX_KB (120 * 1024) /* of the smallest VM of a gateway */
 
 enum fault_kind {
 	KILL_GATEWAY,
@@ -411,6 +419,88 @@
 	return NULL;
 }
 
+/* Answers that are none and don't end, of a backend server for a while. */
+static const char *const endless_faults[] = {
+	"{\"raw\": \"HTTP/1.1 200 OK\\r\\n\", \"raw_endless\": \"A: b\\r\\n\"}",
+	"{\"raw\": \"HTTP/1.1 200 \", \"raw_endless\": \"O\"}",
+	"{\"raw\": \"HTTP/1.1 103 X\\r\\n\", \"raw_endless\": \"a:\\n\"}",
+	"{\"raw\": \"HTTP/1.1 000 X\\r\\n\\r\\n\", \"raw_endless\": \"x\"}",
+	"{\"raw\": \"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n"
+	"\\r\\n0\\r\\n\", \"raw_endless\": \"A: b\\r\\n\"}",
+};
+
+static void *
+answer_without_end(void *arg)
+{
+	GRand *rand = g_rand_new_with_seed(soak.seed * 100 + 95);
+
+	while (!g_atomic_int_get(&soak.stop)) {
+		int victim = g_rand_int_range(rand, 0, 100);
+		const struct fleet_backend *b =
+		    victim % 4 == 0 ? &fleet.services[victim % FLEET_SERVICES]
+				    : &fleet.engines[victim % FLEET_ENGINES];
+
+		wait_or_stop(g_rand_int_range(rand, 500, 3000));
+		set_faults_for(b->address,
+		    endless_faults[g_rand_int_range(
+			rand, 0, G_N_ELEMENTS(endless_faults))],
+		    "{\"raw\": \"\", \"raw_endless\": \"\"}",
+		    g_rand_int_range(rand, FAULT_MIN_MS, FAULT_MAX_MS));
+	}
+	g_rand_free(rand);
+	return NULL;
+}
+
+/* A request whose caller leaves: by an end, a reset, or one of its side. */
+static void
+send_and_leave(GRand *rand)
+{
+	static const char *const requests[] = {
+		"GET /look/1 HTTP/1.1\r\n",
+		"GET /stream/1 HTTP/1.1\r\nTamarackmast-Model: m1\r\n",
+		"POST /stream/1 HTTP/1.1\r\nTamarackmast-Model: m2\r\n"
+		"Content-Length: 9\r\n",
+	};
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int number = g_atomic_int_add(&fleet.request_count, 1) + 1;
+	char *text = g_strdup_printf("%sHost: h.example\r\n"
+				     "Tamarackmast-Request-Id: r%d\r\n"
+				     "Tamarackmast-Deadline-Ms: 10000\r\n\r\n",
+	    requests[g_rand_int_range(rand, 0, G_N_ELEMENTS(requests))],
+	    number);
+	size_t len = g_rand_int_range(rand, 0, 4) == 0 ? 50 : strlen(text);
+	struct linger now = { 1, 0 };
+	struct addr addr;
+
+	g_assert_cmpint(
+	    addr_parse(&addr,
+		fleet.http_address[g_rand_int_range(rand, 0, FLEET_GATEWAYS)]),
+	    ==, 0);
+	inet_pton(AF_INET, addr.host, &sin.sin_addr);
+	sin.sin_port = htons((uint16_t)addr.port);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
+	    send(fd, text, len, MSG_NOSIGNAL) > 0)
+		wait_or_stop(g_rand_int_range(rand, 0, LEAVE_MAX_MS));
+	if (g_rand_int_range(rand, 0, 3) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	else if (g_rand_int_range(rand, 0, 2) == 0)
+		shutdown(fd, SHUT_WR);
+	close(fd);
+	g_free(text);
+}
+
+static void *
+leave_requests(void *arg)
+{
+	GRand *rand = g_rand_new_with_seed(soak.seed * 100 + 94);
+
+	while (!g_atomic_int_get(&soak.stop))
+		send_and_leave(rand);
+	g_rand_free(rand);
+	return NULL;
+}
+
 /* The bounds of the pages: ends of replicas, and requests after them. */
 #define REPEATED_MAX (3 + 3)
 #define REPEATS 10
@@ -546,11 +636,30 @@
 		g_assert_true(proc_is_running(&fleet.engines[i].replica));
 }
 
+/* What the faults fill is bounded. */
+static void
+check_memory(const struct proc *p)
+{
+	char *path = g_strdup_printf("/proc/%d/status", (int)p->pid);
+	char *text = NULL;
+	const char *at;
+	int64_t kb;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	at = strstr(text, "VmHWM:");
+	g_assert_nonnull(at);
+	kb = g_ascii_strtoll(at + strlen("VmHWM:"), NULL, 10);
+	if (kb > MEMORY_MAX_KB)
+		g_error("seed %u: %s took %d kB", soak.seed, p->name, (int)kb);
+	g_free(text);
+	g_free(path);
+}
+
 static void
 run_soak(guint32 seed, int64_t seconds)
 {
 	int64_t end = now_ms() + seconds * 1000;
-	GThread *callers[CALLERS], *others[4];
+	GThread *callers[CALLERS], *others[6];
 	GRand *rand;
 
 	memset(&soak, 0, sizeof(soak));
@@ -565,6 +674,8 @@
 	others[1] = g_thread_new("limits", name_limits, NULL);
 	others[2] = g_thread_new("silences", silence_store, NULL);
 	others[3] = g_thread_new("deadly", send_deadly_requests, NULL);
+	others[4] = g_thread_new("endless", answer_without_end, NULL);
+	others[5] = g_thread_new("leaving", leave_requests, NULL);
 	for (guint i = 0; i < CALLERS; i++)
 		callers[i] =
 		    g_thread_new("caller", run_caller, GUINT_TO_POINTER(i));
@@ -584,6 +695,10 @@
 	check_recovery();
 	check_configuration();
 	check_bookings();
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		check_memory(&fleet.gateways[i]);
+	for (int i = 0; i < FLEET_ENGINES; i++)
+		check_memory(&fleet.engines[i].sidecar);
 	g_test_message("seed %u: %u answered, %u refused, %u failed, %u booked",
 	    soak.seed, soak.answered, soak.refused, soak.failed,
 	    soak.booking_count);
