--- a/test/unit/test_http_client.c
+++ b/test/unit/test_http_client.c
@@ -59,6 +59,7 @@
 	int trickle_fd;
 	unsigned step;
 	unsigned connections;
+	struct bufferevent *half_closed; /* by HALF_CLOSE; or NULL */
 	unsigned resets, ends; /* of connections, by the client */
 	char address[32];
 	/* The last call: */
@@ -133,6 +134,7 @@
 	if (s->ending == HALF_CLOSE) {
 		bufferevent_disable(bev, EV_READ);
 		shutdown(fd, SHUT_WR);
+		f->half_closed = bev;
 	}
 	if (s->ending != CLOSE && s->ending != RESET)
 		return;
@@ -205,10 +207,25 @@
 	f->trickle = evtimer_new(f->base, on_trickle, f);
 }
 
+/* Runs the loop for 50 ms, to receive what is in flight. */
+static void
+run_loop_briefly(struct fixture *f)
+{
+	struct timeval tv = { 0, 50000 };
+
+	event_base_loopexit(f->base, &tv);
+	event_base_dispatch(f->base);
+}
+
 static void
 close_fixture(struct fixture *f)
 {
 	http_client_destroy(f->client);
+	/* The server frees its connections. */
+	for (int i = 0; i < 3; i++)
+		event_base_loop(f->base, EVLOOP_NONBLOCK);
+	if (f->half_closed != NULL)
+		bufferevent_free(f->half_closed);
 	event_free(f->trickle);
 	if (f->listener != NULL)
 		evconnlistener_free(f->listener);
@@ -287,16 +304,6 @@
 		event_base_loop(f->base, EVLOOP_ONCE);
 }
 
-/* Runs the loop for 50 ms, to receive what is in flight. */
-static void
-run_loop_briefly(struct fixture *f)
-{
-	struct timeval tv = { 0, 50000 };
-
-	event_base_loopexit(f->base, &tv);
-	event_base_dispatch(f->base);
-}
-
 /* Of the server's buffers, the client and its answer. */
 #define ENDLESS_MEMORY_MAX (3 * 1024 * 1024)
 #define UPLOAD (4 * 1024 * 1024)
