--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -794,6 +794,41 @@
 	}
 }
 
+int64_t
+proc_cpu_ms(const struct proc *p)
+{
+	char *path = g_strdup_printf("/proc/%d/stat", (int)p->pid);
+	char *text = NULL;
+	char **fields;
+	int64_t ticks;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	fields = g_strsplit(strrchr(text, ')') + 2, " ", 16);
+	ticks = g_ascii_strtoll(fields[11], NULL, 10) +
+		g_ascii_strtoll(fields[12], NULL, 10);
+	g_strfreev(fields);
+	g_free(text);
+	g_free(path);
+	return ticks * 1000 / sysconf(_SC_CLK_TCK);
+}
+
+int64_t
+proc_status_kb(const struct proc *p, const char *name)
+{
+	char *path = g_strdup_printf("/proc/%d/status", (int)p->pid);
+	char *text = NULL;
+	const char *at;
+	int64_t kb;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	at = strstr(text, name);
+	g_assert_nonnull(at);
+	kb = g_ascii_strtoll(at + strlen(name), NULL, 10);
+	g_free(text);
+	g_free(path);
+	return kb;
+}
+
 void
 remove_dir(const char *path)
 {
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -97,6 +97,10 @@
 void proc_init(struct proc *, const char *dir, const char *name,
     const char *program, const char *sub);
 void proc_add_arg(struct proc *, const char *arg);
+/* Processor time that a running process has used. */
+int64_t proc_cpu_ms(const struct proc *);
+/* A figure of its /proc/PID/status in kB, by its name with the colon. */
+int64_t proc_status_kb(const struct proc *, const char *name);
 /* Removes a directory that holds only files. */
 void remove_dir(const char *path);
 
--- a/test/process/test_callers_leave.c
+++ b/test/process/test_callers_leave.c
@@ -75,23 +75,6 @@
 
 /* ---- processes ---- */
 
-static int64_t
-status_kb(const struct proc *p, const char *name)
-{
-	char *path = g_strdup_printf("/proc/%d/status", (int)p->pid);
-	char *text = NULL;
-	const char *at;
-	int64_t kb;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	at = strstr(text, name);
-	g_assert_nonnull(at);
-	kb = g_ascii_strtoll(at + strlen(name), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return kb;
-}
-
 static unsigned
 descriptors(const struct proc *p)
 {
@@ -106,24 +89,6 @@
 	return count;
 }
 
-static int64_t
-cpu_ms(const struct proc *p)
-{
-	char *path = g_strdup_printf("/proc/%d/stat", (int)p->pid);
-	char *text = NULL;
-	char **fields;
-	int64_t ticks;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	fields = g_strsplit(strrchr(text, ')') + 2, " ", 16);
-	ticks = g_ascii_strtoll(fields[11], NULL, 10) +
-		g_ascii_strtoll(fields[12], NULL, 10);
-	g_strfreev(fields);
-	g_free(text);
-	g_free(path);
-	return ticks * 1000 / sysconf(_SC_CLK_TCK);
-}
-
 /* ---- callers ---- */
 
 static int
@@ -222,7 +187,7 @@
 static void
 note_rest(struct rest *r)
 {
-	r->kb = status_kb(r->p, "VmRSS:");
+	r->kb = proc_status_kb(r->p, "VmRSS:");
 	r->descriptors = descriptors(r->p);
 }
 
@@ -241,10 +206,10 @@
 
 	proc_assert_running((struct proc *)r->p);
 	await_true(has_no_more_descriptors, r, "descriptors closed");
-	cpu = cpu_ms(r->p);
+	cpu = proc_cpu_ms(r->p);
 	sleep_ms(REST_MS);
-	cpu = cpu_ms(r->p) - cpu;
-	kb = status_kb(r->p, "VmRSS:");
+	cpu = proc_cpu_ms(r->p) - cpu;
+	kb = proc_status_kb(r->p, "VmRSS:");
 	g_test_message("%s after %s: %ld kB, before %ld; %u descriptors; %ld "
 		       "ms of %d",
 	    r->name, when, (long)kb, (long)r->kb, descriptors(r->p), (long)cpu,
--- a/test/process/test_endless_answers.c
+++ b/test/process/test_endless_answers.c
@@ -23,27 +23,10 @@
 #define BOOKING_PAUSE_MS 20
 #define SETTLE_MS 1000 /* until a configuration is in force */
 
-static int64_t
-peak_memory_kb(const struct proc *p)
-{
-	char *path = g_strdup_printf("/proc/%d/status", (int)p->pid);
-	char *text = NULL;
-	const char *at;
-	int64_t kb;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	at = strstr(text, "VmHWM:");
-	g_assert_nonnull(at);
-	kb = g_ascii_strtoll(at + strlen("VmHWM:"), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return kb;
-}
-
 static void
 assert_memory_below(const struct proc *p, int64_t max_kb)
 {
-	int64_t kb = peak_memory_kb(p);
+	int64_t kb = proc_status_kb(p, "VmHWM:");
 
 	g_test_message("peak memory %d kB", (int)kb);
 	g_assert_cmpint(kb, <, max_kb);
@@ -130,8 +113,8 @@
 		g_test_message("%s", faults);
 		fleet_set_faults(fleet.engines, FLEET_ENGINES, faults);
 		run_beside_bookings("/stream/1", "m1");
-		g_assert_cmpint(
-		    peak_memory_kb(&fleet.gateways[0]), <, MEMORY_MAX_KB);
+		g_assert_cmpint(proc_status_kb(&fleet.gateways[0], "VmHWM:"), <,
+		    MEMORY_MAX_KB);
 		g_free(faults);
 	}
 	fleet_stop();
--- a/test/process/test_http_edges.c
+++ b/test/process/test_http_edges.c
@@ -794,24 +794,6 @@
 	stop_early_replica();
 }
 
-static int64_t
-cpu_ms(const struct proc *p)
-{
-	char *path = g_strdup_printf("/proc/%d/stat", (int)p->pid);
-	char *text = NULL;
-	char **fields;
-	int64_t ticks;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	fields = g_strsplit(strrchr(text, ')') + 2, " ", 16);
-	ticks = g_ascii_strtoll(fields[11], NULL, 10) +
-		g_ascii_strtoll(fields[12], NULL, 10);
-	g_strfreev(fields);
-	g_free(text);
-	g_free(path);
-	return ticks * 1000 / sysconf(_SC_CLK_TCK);
-}
-
 /*
  * Guards against requests and answers inside the limits that take a gateway a
  * tenth of a second each, as they have many fields.
@@ -831,13 +813,13 @@
 		g_string_printf(e.answer, "%s%sContent-Length: 1\r\n\r\na",
 		    SEALED, i == 0 ? "" : fields->str);
 		e.fields = i == 0 ? fields->str : "";
-		before = cpu_ms(&fleet.gateways[0]);
+		before = proc_cpu_ms(&fleet.gateways[0]);
 		for (int n = 0; n < MANY_FIELDS_REQUESTS; n++)
 			g_assert_cmpint(post("/look/1", 0), ==, 200);
 		g_test_message("%d ms for %d %s",
-		    (int)(cpu_ms(&fleet.gateways[0]) - before),
+		    (int)(proc_cpu_ms(&fleet.gateways[0]) - before),
 		    MANY_FIELDS_REQUESTS, i == 0 ? "requests" : "answers");
-		g_assert_cmpint(cpu_ms(&fleet.gateways[0]) - before, <,
+		g_assert_cmpint(proc_cpu_ms(&fleet.gateways[0]) - before, <,
 		    MANY_FIELDS_REQUESTS * MANY_FIELDS_CPU_MS);
 	}
 	e.fields = "";
--- a/test/process/test_soak_platform.c
+++ b/test/process/test_soak_platform.c
@@ -640,19 +640,10 @@
 static void
 check_memory(const struct proc *p)
 {
-	char *path = g_strdup_printf("/proc/%d/status", (int)p->pid);
-	char *text = NULL;
-	const char *at;
-	int64_t kb;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	at = strstr(text, "VmHWM:");
-	g_assert_nonnull(at);
-	kb = g_ascii_strtoll(at + strlen("VmHWM:"), NULL, 10);
+	int64_t kb = proc_status_kb(p, "VmHWM:");
+
 	if (kb > MEMORY_MAX_KB)
 		g_error("seed %u: %s took %d kB", soak.seed, p->name, (int)kb);
-	g_free(text);
-	g_free(path);
 }
 
 static void
