Review case 13: an order of before a restart overfills a runner

The sidecar's list of orders without an answer is lost with its process; a late order then loads a fourth model into a runner that has been filled again.

--- a/review/kit-3/peer.c
+++ b/review/kit-3/peer.c
@@ -481,16 +481,24 @@
 {
 	static struct message m;
 	long deadline_ms = number(args, "deadline_ms", 1000);
+	const char *model = option(args, "model", "");
 	char head[1024], body[128], seal[NAME_MAX_BYTES], after[NAME_MAX_BYTES];
+	char fields[256] = "";
 	int fd = connect_to(address, (int)deadline_ms), status;
 
 	*retry_after = 0;
+	/* The end of a stream is then the end of the connection. */
+	if (model[0] != '\0')
+		snprintf(fields, sizeof(fields),
+		    "Connection: close\r\nTamarackmast-Model: %s\r\n"
+		    "Tamarackmast-Token-Count: 200,50\r\n",
+		    model);
 	snprintf(body, sizeof(body), "subject %ld", subject);
 	snprintf(head, sizeof(head),
 	    "%s %s%ld HTTP/1.1\r\nHost: %s\r\nTamarackmast-Request-Id: %s\r\n"
-	    "Tamarackmast-Deadline-Ms: %ld\r\nContent-Length: %zu\r\n\r\n",
+	    "Tamarackmast-Deadline-Ms: %ld\r\n%sContent-Length: %zu\r\n\r\n",
 	    option(args, "method", "POST"), option(args, "path", "/book/"),
-	    subject, option(args, "host", "h.example"), id, deadline_ms,
+	    subject, option(args, "host", "h.example"), id, deadline_ms, fields,
 	    strlen(body));
 	record("sent %s subject %ld", id, subject);
 	if (fd == -1 || write_all(fd, head, strlen(head)) == -1 ||
