--- a/review/kit-3/peer.c
+++ b/review/kit-3/peer.c
@@ -9,9 +9,13 @@
  *		a plain service of the platform
  *	peer client ADDRESS RECORD [NAME=VALUE ...]
  *		a client that sends requests one after the other
+ *	peer proxy LISTEN=TARGET...
+ *		forwards connections; at SIGUSR1 those that are open go silent
+ *		for good, without an end, while new ones are forwarded
  *
  * All addresses are IP:PORT of the loopback network.  RECORD is appended to, a
- * line an event; times are in ms since the start of the process.
+ * line an event; times are in ms since PEER_T0, a time of the environment in ms
+ * since 1970, or since the start of the process.
  */
 #include <errno.h>
 #include <pthread.h>
@@ -46,13 +50,14 @@
 now_ms(void)
 {
 	static int64_t start;
+	const char *base = getenv("PEER_T0");
 	struct timespec ts;
 	int64_t now;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	clock_gettime(CLOCK_REALTIME, &ts);
 	now = ts.tv_sec * 1000LL + ts.tv_nsec / 1000000;
 	if (start == 0)
-		start = now;
+		start = base == NULL ? now : strtoll(base, NULL, 10);
 	return now - start;
 }
 
@@ -171,6 +176,16 @@
 	return fd;
 }
 
+static void
+start_thread(void *(*run)(void *), void *arg)
+{
+	pthread_t thread;
+
+	if (pthread_create(&thread, NULL, run, arg) != 0)
+		die("thread");
+	pthread_detach(thread);
+}
+
 /* ---- messages ---- */
 
 struct message {
@@ -444,14 +459,9 @@
 		die("listen");
 	for (;;) {
 		int conn = accept(fd, NULL, NULL);
-		pthread_t thread;
 
-		if (conn == -1)
-			continue;
-		if (pthread_create(&thread, NULL, serve_connection,
-			(void *)(intptr_t)conn) != 0)
-			die("thread");
-		pthread_detach(thread);
+		if (conn != -1)
+			start_thread(serve_connection, (void *)(intptr_t)conn);
 	}
 }
 
@@ -551,6 +561,106 @@
 	return 0;
 }
 
+/* ---- the proxy ---- */
+
+static volatile sig_atomic_t silences; /* SIGUSR1 received */
+
+struct pipe_end {
+	int from;
+	int to;
+	int silences; /* when the connection was opened */
+};
+
+struct mapping {
+	const char *listen;
+	const char *target;
+};
+
+static void
+on_silence(int sig)
+{
+	(void)sig;
+	silences++;
+}
+
+/* Forwards one direction; keeps its descriptors open once it is silent. */
+static void *
+forward(void *arg)
+{
+	struct pipe_end *p = arg;
+	char buf[16384];
+	ssize_t n;
+
+	while ((n = recv(p->from, buf, sizeof(buf), 0)) > 0 &&
+	       p->silences == silences) {
+		if (write_all(p->to, buf, (size_t)n) == -1)
+			break;
+	}
+	if (p->silences == silences) {
+		(void)shutdown(p->from, SHUT_RDWR);
+		(void)shutdown(p->to, SHUT_RDWR);
+	}
+	free(p);
+	return NULL;
+}
+
+static void
+start_forward(int from, int to)
+{
+	struct pipe_end *p = malloc(sizeof(*p));
+
+	if (p == NULL)
+		abort();
+	*p = (struct pipe_end){ from, to, silences };
+	start_thread(forward, p);
+}
+
+static void *
+serve_mapping(void *arg)
+{
+	const struct mapping *m = arg;
+	struct sockaddr_in sin = parse_address(m->listen);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+
+	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1 ||
+	    listen(fd, 128) == -1)
+		die(m->listen);
+	for (;;) {
+		int client = accept(fd, NULL, NULL), server;
+
+		if (client == -1)
+			continue;
+		server = connect_to(m->target, 0);
+		if (server == -1) {
+			close(client);
+			continue;
+		}
+		(void)setsockopt(
+		    client, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		start_forward(client, server);
+		start_forward(server, client);
+	}
+	return NULL;
+}
+
+static void __attribute__((noreturn)) run_proxy(char **args)
+{
+	signal(SIGUSR1, on_silence);
+	for (; *args != NULL; args++) {
+		struct mapping *m = malloc(sizeof(*m));
+		char *equal = strchr(*args, '=');
+
+		if (m == NULL || equal == NULL)
+			die(*args);
+		*equal = '\0';
+		*m = (struct mapping){ *args, equal + 1 };
+		start_thread(serve_mapping, m);
+	}
+	for (;;)
+		pause();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -564,6 +674,8 @@
 		open_record(argv[4]);
 		run_runner(argv[2], argv + 5);
 	}
+	if (argc >= 3 && strcmp(argv[1], "proxy") == 0)
+		run_proxy(argv + 2);
 	if (argc >= 4 && strcmp(argv[1], "client") == 0) {
 		open_record(argv[3]);
 		return run_client(argv[2], argv + 4);
