--- a/review/kit-3/lib.sh
+++ b/review/kit-3/lib.sh
@@ -117,13 +117,15 @@
 	await 10 "$PEER" call "$READY" GET /-/ready
 }
 
-# start_runner ID ADDRESS [NAME=VALUE ...]: also registers it.
+# start_runner ID ADDRESS [NAME=VALUE ...]: also registers it, for the service
+# of RUNNER_SERVICE.
+RUNNER_SERVICE=termindienst
 start_runner() {
 	local id=$1 address=$2
 	shift 2
 	start "$id" "$PEER" runner "$address" "$id" "$RECORD" "$@"
 	await 10 "$PEER" call "$address" GET /health
-	put keyed.servers "$id" "{\"service\":\"termindienst\",
+	put keyed.servers "$id" "{\"service\":\"$RUNNER_SERVICE\",
 	\"address\":\"$address\",\"zone\":\"rosenheim-a\",\"version\":\"1\",
 	\"slots\":6,\"state\":\"ready\",\"cold_left_ms\":0,\"born\":1000,\"seq\":0}"
 }
