--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,6 +4,7 @@
 # claim.txt.
 set -eu
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt
 . "$CASE/../kit-3/lib.sh"
 begin
 # shellcheck disable=SC2086
--- a/review/kit-3/lib.sh
+++ b/review/kit-3/lib.sh
@@ -1,10 +1,9 @@
 # Functions that the scripts of cases 11 and above share.  A script sets CASE
-# (its folder), sources this file, calls begin, and ends with finish.
+# (its folder) and RECORD, sources this file, calls begin, and ends with finish.
 ROOT=$(cd "$CASE/../.." && pwd)
 PEER=$ROOT/target/review-3-peer
 STANDIN=$ROOT/target/tamarackmast-standin
 PROGRAM=$ROOT/target/tamarackmast
-RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
 PIDS=""
 
