--- a/review/kit-3/peer.c
+++ b/review/kit-3/peer.c
@@ -40,7 +40,8 @@
 #define HEAD_MAX 16384
 #define BODY_MAX 65536
 #define NAME_MAX_BYTES 64
-#define PORTS_MAX 64
+#define PORT_MIN 12000
+#define PORT_COUNT 18000
 
 static int record_fd = -1;
 
@@ -257,22 +258,31 @@
 
 /* ---- ports and calls ---- */
 
+/*
+ * Below the range that the system takes ports of outgoing connections from: one
+ * of those could be taken before the program listens there.
+ */
 static int
 print_ports(int count)
 {
-	int fds[PORTS_MAX];
+	unsigned seed = (unsigned)getpid() ^ (unsigned)time(NULL) << 12;
+	int found = 0, on = 1;
 
-	for (int i = 0; i < count && i < PORTS_MAX; i++) {
+	for (int tries = 0; found < count && tries < 1000; tries++) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
 		struct sockaddr_in sin = parse_address("127.0.0.1:0");
-		socklen_t len = sizeof(sin);
-
-		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
-		if (bind(fds[i], (struct sockaddr *)&sin, sizeof(sin)) == -1 ||
-		    getsockname(fds[i], (struct sockaddr *)&sin, &len) == -1)
-			die("bind");
-		printf("%d\n", ntohs(sin.sin_port));
+		int port = PORT_MIN + rand_r(&seed) % PORT_COUNT;
+
+		sin.sin_port = htons((uint16_t)port);
+		(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		/* Kept until the exit, so that no port is found twice. */
+		if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
+		    listen(fd, 1) == 0) {
+			printf("%d\n", port);
+			found++;
+		}
 	}
-	return 0;
+	return found == count ? 0 : 2;
 }
 
 static int
