--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -9,8 +9,10 @@
 begin
 # shellcheck disable=SC2086
 set -- $FREE_PORTS
-ENGINE=127.0.0.1:$1
+ENGINE=127.0.2.1:$1
+ENGINE_PORT=$1
 LATE_MS=10000
+OTHERS="2 3 4 5 6 7" # runners that hold other models, each with its sidecar
 
 # SIDECAR=0: the runner alone restarts; for comparison.
 SIDECAR=${SIDECAR:-1}
@@ -66,7 +68,10 @@
 {"name":"m1","weights_mb":72700,"load_s":6,"warm_s":0.4,"disk_s":0.84},
 {"name":"m2","weights_mb":72700,"load_s":6,"warm_s":0.4,"disk_s":0.84},
 {"name":"m3","weights_mb":72700,"load_s":6,"warm_s":0.4,"disk_s":0.84},
-{"name":"m4","weights_mb":72700,"load_s":6,"warm_s":0.4,"disk_s":0.84}]}}],
+{"name":"m4","weights_mb":72700,"load_s":6,"warm_s":0.4,"disk_s":0.84},
+{"name":"m5","weights_mb":72700,"load_s":6,"warm_s":0.4,"disk_s":0.84},
+{"name":"m6","weights_mb":72700,"load_s":6,"warm_s":0.4,"disk_s":0.84},
+{"name":"m7","weights_mb":72700,"load_s":6,"warm_s":0.4,"disk_s":0.84}]}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
 "header_timeout_ms":3000,"idle_timeout_ms":15000}}'
 # 3 models of 72.7 GB fit into 220 GB.  All have been on its disk before.
@@ -75,21 +80,35 @@
 	--disk m3 --disk m4
 ENGINE_PID=$LAST_PID
 await 10 "$PEER" call "$ENGINE" GET /journal
-cat >"$DIR/sidecar.ini" <<INI
-[daemon]
-vm = side-rosenheim-a-1
-zone = rosenheim-a
-[rpc]
-listen = 127.0.0.1:$SIDECAR_PORT
-[store]
-address = $STORE
-[replica]
-address = $ENGINE
-service = sprachdienst
-[loads]
-window_ms = 5000
-overage = 1.1
-INI
+settings() { # NUMBER
+	cat <<-INI
+	[daemon]
+	vm = side-rosenheim-a-$1
+	zone = rosenheim-a
+	[rpc]
+	listen = 127.0.2.$1:$SIDECAR_PORT
+	[store]
+	address = $STORE
+	[replica]
+	address = 127.0.2.$1:$ENGINE_PORT
+	service = sprachdienst
+	[loads]
+	window_ms = 5000
+	overage = 1.1
+	INI
+}
+settings 1 >"$DIR/sidecar.ini"
+for n in $OTHERS; do
+	start "engine$n" "$STANDIN" replica --listen "127.0.2.$n:$ENGINE_PORT" \
+		--id "i-e$n" --born 1000 --events 5 --capacity 3 --load-ms 6000 \
+		--model m5 --model m6 --model m7 --disk m5 --disk m6 --disk m7
+	settings "$n" >"$DIR/sidecar$n.ini"
+	start "sidecar$n" "$PROGRAM" sidecar --config "$DIR/sidecar$n.ini"
+	put keyed.servers "i-e$n" "{\"service\":\"sprachdienst\",
+	\"address\":\"127.0.2.$n:$ENGINE_PORT\",\"zone\":\"rosenheim-a\",
+	\"version\":\"1\",\"slots\":64,\"state\":\"ready\",
+	\"cold_left_ms\":0,\"born\":1000,\"seq\":0,\"models\":[]}"
+done
 start_sidecar
 register 1000
 start_gateway
